--- /dev/null
+++ b/internal/benchwire/settings.go
@@ -0,0 +1,116 @@
+package benchwire
+
+import (
+	"encoding/json"
+
+	"chuteweir.example/chuteweir/rules"
+)
+
+// micros is a span as the settings write it.
+type micros float64
+
+func (m micros) millis() rules.Millis { return rules.Millis(m) / 1000 }
+
+type options struct {
+	Classes []struct {
+		Aim        micros  `json:"aim"`
+		Deadline   micros  `json:"deadline"`
+		Worth      float64 `json:"worth"`
+		LateWorth  float64 `json:"late_worth"`
+		Repeat     string  `json:"repeat"`
+		KeyScope   string  `json:"key_scope"`
+		KeyTTL     micros  `json:"key_ttl"`
+		Sequential bool    `json:"sequential"`
+	} `json:"classes"`
+	Kinds      []string `json:"kinds"`
+	Discovery  string   `json:"discovery"`
+	GroupSize  int      `json:"group_size"`
+	FamilyInfo struct {
+		FeeByZone      []float64 `json:"fee_by_zone"`
+		LosesWorth     string    `json:"loses_worth"`
+		PerCall        []int     `json:"per_call"`
+		SeparateRoutes []bool    `json:"separate_routes"`
+		Slots          int       `json:"slots"`
+	} `json:"family_info"`
+	Limits struct {
+		MaxRetryAfter micros `json:"max_retry_after"`
+		OpenCap       int    `json:"open_cap"`
+		RetryAfter    bool   `json:"retry_after"`
+		SendCap       int    `json:"send_cap"`
+	} `json:"limits"`
+	Obligations struct {
+		ColdFrom    float64 `json:"cold_from"`
+		Fall        micros  `json:"fall"`
+		KeyRest     micros  `json:"key_rest"`
+		MustAskIn   micros  `json:"must_ask_in"`
+		TipMultiple float64 `json:"tip_multiple"`
+		WarmWithin  micros  `json:"warm_within"`
+	} `json:"obligations"`
+	OverShareWorth float64 `json:"over_share_worth"`
+	Realms         []struct {
+		QuotaPerS float64 `json:"quota_per_s"`
+	} `json:"realms"`
+	Tick         micros `json:"tick"`
+	WeightSource string `json:"weight_source"`
+}
+
+var repeats = map[string]rules.Repeat{
+	"free": rules.Reissuable, "guarded": rules.Numbered, "single_shot": rules.AtMostOnce,
+}
+
+// listedErrors is how far a listed rate may be too high, by source.
+var listedErrors = map[string]float64{"nominal": 0, "rough": 0.5}
+
+func readSettings(text []byte) (rules.Settings, error) {
+	var o options
+	if err := json.Unmarshal(text, &o); err != nil {
+		return rules.Settings{}, err
+	}
+	s := rules.Settings{
+		ZoneFees:    o.FamilyInfo.FeeByZone,
+		Senders:     o.GroupSize,
+		Slots:       o.FamilyInfo.Slots,
+		HoldLimit:   o.Limits.OpenCap,
+		TripLimit:   o.Limits.SendCap,
+		Tick:        o.Tick.millis(),
+		OverShare:   o.OverShareWorth,
+		HalvesLate:  o.FamilyInfo.LosesWorth == "by_half",
+		RetryAfter:  o.Limits.RetryAfter,
+		RetryMost:   o.Limits.MaxRetryAfter.millis(),
+		ListOnAsk:   o.Discovery == "subscribe",
+		AskWithin:   o.Obligations.MustAskIn.millis(),
+		ListedError: -1,
+		ColdFrom:    o.Obligations.ColdFrom,
+		WarmWithin:  o.Obligations.WarmWithin.millis(),
+		TipMultiple: o.Obligations.TipMultiple,
+		Fall:        o.Obligations.Fall.millis(),
+		KeyRest:     o.Obligations.KeyRest.millis(),
+	}
+	if e, listed := listedErrors[o.WeightSource]; listed {
+		s.ListedError = e
+	}
+	for _, c := range o.Classes {
+		s.Grades = append(s.Grades, rules.Grade{
+			QuotedTime:    c.Aim.millis(),
+			ClientTimeout: c.Deadline.millis(),
+			Credit:        c.Worth,
+			LateShare:     c.LateWorth,
+			Repeat:        repeats[c.Repeat],
+			ZoneOnly:      c.KeyScope != "all",
+			RemembersFor:  c.KeyTTL.millis(),
+			InOrder:       c.Sequential,
+		})
+	}
+	for i := range o.Kinds {
+		k := rules.Kind{PerCall: 1}
+		if i < len(o.FamilyInfo.PerCall) {
+			k.PerCall = o.FamilyInfo.PerCall[i]
+		}
+		k.Apart = i < len(o.FamilyInfo.SeparateRoutes) && o.FamilyInfo.SeparateRoutes[i]
+		s.Kinds = append(s.Kinds, k)
+	}
+	for _, r := range o.Realms {
+		s.Quotas = append(s.Quotas, r.QuotaPerS)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/rules/api.go
@@ -0,0 +1,189 @@
+package rules
+
+// The ids that reach the module from outside; none tells anything but sameness.
+type (
+	NoticeID      uint32
+	ReceiverID    uint32
+	DestinationID int32
+	KeyID         uint64
+	GradeID       uint16
+	PortfolioID   uint32
+	ZoneID        uint8
+	KindID        uint16
+	TimerID       uint64
+)
+
+// Millis is a time or a span in milliseconds.
+type Millis float64
+
+// Repeat tells whether a notice may run again.
+type Repeat uint8
+
+const (
+	AtMostOnce Repeat = iota // must never run twice
+	Numbered                 // a repeat is known by its mark
+	Reissuable               // may run again
+)
+
+// Grade is a service grade.
+type Grade struct {
+	QuotedTime    Millis
+	ClientTimeout Millis
+	Credit        float64
+	LateShare     float64 // share of the credit left at the client timeout
+	Repeat        Repeat
+	ZoneOnly      bool   // numbered: a repeat is known only within the zone of the first trip
+	RemembersFor  Millis // numbered: how long a mark is remembered, from the first trip on
+	InOrder       bool   // notices of one key take turns
+}
+
+// Kind is a kind of destination.
+type Kind struct {
+	PerCall int  // notices that one call may carry
+	Apart   bool // its receivers are separate routes
+}
+
+// Settings is what a sender is told at its start.
+type Settings struct {
+	Grades      []Grade
+	Kinds       []Kind
+	Quotas      []float64 // notices a second within each portfolio's share, all senders together
+	ZoneFees    []float64
+	Senders     int
+	Slots       int // calls out at once
+	HoldLimit   int // notices held or out at once
+	TripLimit   int
+	Tick        Millis
+	OverShare   float64 // what credit beyond a portfolio's share counts
+	HalvesLate  bool    // credit halves with each further quoted time; else it falls evenly
+	RetryAfter  bool    // a dismissal may tell when to come back
+	RetryMost   Millis
+	ListOnAsk   bool // list changes come only to those that watch
+	AskWithin   Millis
+	ListedError float64 // how far a listed rate may be too high, as a share of the true one; < 0: none listed
+	ColdFrom    float64
+	WarmWithin  Millis
+	TipMultiple float64
+	Fall        Millis
+	KeyRest     Millis
+}
+
+// Standing is what the list says of a receiver.
+type Standing uint8
+
+const (
+	Gone Standing = iota
+	Ready
+	Draining
+)
+
+// Entry is one line of the list of receivers.
+type Entry struct {
+	Receiver    ReceiverID
+	Destination DestinationID
+	Kind        KindID
+	Zone        ZoneID
+	Standing    Standing
+	ListedRate  float64 // calls a second that the destination, or the route apart, takes
+}
+
+// Result is how a trip ended.
+type Result uint8
+
+const (
+	Handled Result = iota
+	Errored
+	Full // turned away unseen
+	TimedOut
+	NotConnected // never ran
+	Reset
+	Cancelled
+	Moot // not sent
+)
+
+// Event is something that happened to this sender.
+type Event interface{ event() }
+
+type (
+	// NoticeTaken hands the sender a notice, to which it now owes one final answer.
+	NoticeTaken struct {
+		Notice      NoticeID
+		Grade       GradeID
+		Portfolio   PortfolioID
+		Key         KeyID // 0: none
+		Destination DestinationID
+		Left        Millis // until the client timeout
+		Inherited   bool   // another sender held it and died
+	}
+	// TripEnded tells the outcome of one trip.
+	TripEnded struct {
+		Notice    NoticeID
+		Receiver  ReceiverID
+		Result    Result
+		Spent     Millis
+		Wait      Millis // with Full: told to wait so long; 0: not told
+		Over      bool   // the notice is over, by this outcome or before
+		LimitTold bool
+		LimitLeft float64 // share of the limit that is left
+		LimitRate float64 // calls a second; 0: no limit
+	}
+	// NoticeWithdrawn says that nothing more is owed for a notice.
+	NoticeWithdrawn struct{ Notice NoticeID }
+	// ListTold brings list entries: all of them, or those that changed.
+	ListTold struct {
+		Whole   bool
+		Entries []Entry
+	}
+	// ListFailed says that a watch could not be had, or broke.
+	ListFailed struct{}
+	// TimerDue brings back a timer.
+	TimerDue struct{ Timer TimerID }
+)
+
+func (NoticeTaken) event()     {}
+func (TripEnded) event()       {}
+func (NoticeWithdrawn) event() {}
+func (ListTold) event()        {}
+func (ListFailed) event()      {}
+func (TimerDue) event()        {}
+
+// Action is something to be done for this sender, in the order given.
+type Action interface{ action() }
+
+type (
+	// Send starts a trip.
+	Send struct {
+		Notice   NoticeID
+		Receiver ReceiverID
+		TimeOut  Millis
+	}
+	// Dismiss ends a notice: trying again is harmless.
+	Dismiss struct {
+		Notice     NoticeID
+		RetryAfter Millis // 0: no advice
+	}
+	// BreakOff ends a notice and promises nothing.
+	BreakOff struct{ Notice NoticeID }
+	// CallOff stops waiting for a trip.
+	CallOff struct {
+		Notice NoticeID
+		Trip   int
+	}
+	// SetTimer asks for TimerDue.
+	SetTimer struct {
+		After Millis
+		Timer TimerID
+	}
+	// WatchList asks for list changes from now on.
+	WatchList struct{}
+	// Log adds a line for people.
+	Log struct{ Text string }
+)
+
+func (Send) action()      {}
+func (Dismiss) action()   {}
+func (BreakOff) action()  {}
+func (CallOff) action()   {}
+func (SetTimer) action()  {}
+func (WatchList) action() {}
+func (Log) action()       {}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,825 @@
+// Package rules holds every decision of a sender. Make one with New, then call Decide whenever something
+// happened: it takes the time and the events and returns the actions, to be carried out in their order.
+// The interface (ids, Settings, events, actions) is in api.go; docs/design.md tells why things are so.
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	// The breaker's figures, from the design page.
+	statisticsWindow              Millis = 30_000
+	resetTimeout                  Millis = 5_000
+	minimumCallsBeforeCalculation        = 10
+	failureThreshold                     = 5
+	halfOpenMaxCalls                     = 3
+
+	// The delay window's steps.
+	nearBest   = 2.0  // a mean delay up to so many times the best counts as near it
+	farBest    = 4.0  // from here on it counts as slow
+	narrowing  = 0.9  // what is left of the window after a slow answer
+	overdue    = 6.0  // a call out so many times the mean delay is overdue
+	bestDrift  = 0.01 // how far each answer draws the best delay up to the mean
+	creditPart = 0.25 // a receiver's credits, as a share of the slots
+	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
+	ownPart    = 0.66 // of the return budget: rule 4 counts from two thirds on
+	nearlyFull = 0.9  // of the hold limit: from here on the least urgent make room
+
+	never = Millis(math.MaxFloat64)
+)
+
+type breakerState string
+
+const (
+	closed   breakerState = "closed"
+	open     breakerState = "open"
+	halfOpen breakerState = "half-open"
+)
+
+// sum is a decaying sum, brought up to date when it is read.
+type sum struct {
+	value float64
+	at    Millis
+}
+
+func (d *sum) read(now, span Millis) float64 {
+	d.value *= math.Exp(-float64((now - d.at) / span))
+	d.at = now
+	return d.value
+}
+
+func (d *sum) add(now, span Millis, x float64) { d.value = d.read(now, span) + x }
+
+type outcome struct {
+	at     Millis
+	failed bool
+}
+
+// call is one trip to a receiver, with all the notices that travel on it.
+type call struct {
+	receiver            *receiver
+	sentAt              Millis
+	riders, waiting     int // notices aboard; those without an outcome yet
+	judged, late, trial bool
+}
+
+type receiver struct {
+	id       ReceiverID
+	route    *route
+	zone     ZoneID
+	standing Standing
+	fee      float64
+	credits  float64
+	creditAt Millis
+}
+
+// route is what has a breaker, a delay window, a wait and a pace of its own: a destination, or where a
+// destination's receivers are separate routes, one of these.
+type route struct {
+	destination *destination
+	receivers   []*receiver
+	out         []*call
+
+	state               breakerState
+	outcomes            []outcome
+	reopenAt            Millis
+	trials, proved, run int // trials out and succeeded; failures since the last success
+
+	window, limitRate, listedRate, handledRate float64 // rates a millisecond: told, listed, the most seen
+	delays, answers, handled, failed           sum
+	mean, best, backoff                        Millis
+	waitUntil, lastHandled                     Millis
+	outage                                     bool // seen, and no success since
+	returnedAt, paceAt                         Millis
+}
+
+type destination struct {
+	id     DestinationID
+	kind   Kind
+	routes []*route
+}
+
+// keyLine holds the notices of one key in the order in which they were taken.
+type keyLine struct {
+	line      []*notice
+	restUntil Millis
+}
+
+type notice struct {
+	id                         NoticeID
+	grade                      Grade
+	destination                DestinationID
+	key                        KeyID
+	credit, urgency            float64
+	quotedAt, until, restUntil Millis
+	trips                      int
+	out                        *call
+	mayHaveRun, zoneUnknown    bool
+	ranAt                      Millis // the first trip that may have run
+	ranZone                    ZoneID
+	over                       bool
+}
+
+// Sender decides for one sender.
+type Sender struct {
+	settings     Settings
+	chance       uint64
+	now          Millis
+	actions      []Action
+	notices      map[NoticeID]*notice
+	held         []*notice // those not over, in the order taken
+	destinations map[DestinationID]*destination
+	routes       []*route
+	receivers    map[ReceiverID]*receiver
+	keys         map[KeyID]*keyLine
+	portfolios   []sum
+	credits      float64 // of a receiver, at most
+	slotsOut     int
+	fresh        []*call // calls begun in this turn
+	again, won   sum     // further trips and those that succeeded
+	timerAt      Millis
+	watchAt      Millis
+}
+
+// New starts a sender that knows only its settings and its seed.
+func New(seed uint64, settings Settings) *Sender {
+	s := &Sender{
+		settings:     settings,
+		chance:       seed,
+		notices:      map[NoticeID]*notice{},
+		destinations: map[DestinationID]*destination{},
+		receivers:    map[ReceiverID]*receiver{},
+		keys:         map[KeyID]*keyLine{},
+		portfolios:   make([]sum, len(settings.Quotas)),
+		credits:      max(math.Ceil(creditPart*float64(settings.Slots)), 2),
+		timerAt:      never,
+		watchAt:      never,
+	}
+	if settings.ListOnAsk {
+		s.watchAt = 0
+	}
+	return s
+}
+
+// random is a permuted congruential generator's next number, from 0 to below 1.
+func (s *Sender) random() float64 {
+	old := s.chance
+	s.chance = old*6364136223846793005 + 1442695040888963407
+	x := uint32(((old >> 18) ^ old) >> 27)
+	r := uint32(old >> 59)
+	return float64(x>>r|x<<(-r&31)) / (1 << 32)
+}
+
+// Decide takes what happened and returns what is to be done.
+func (s *Sender) Decide(now Millis, events []Event) []Action {
+	s.now, s.actions, s.fresh = now, nil, nil
+	for _, e := range events {
+		s.heed(e)
+	}
+	if s.now >= s.watchAt {
+		s.watchAt = never
+		s.do(WatchList{})
+	}
+	s.noticeSilence()
+	s.serve()
+	s.giveUp()
+	s.setTimer()
+	return s.actions
+}
+
+func (s *Sender) heed(e Event) {
+	switch e := e.(type) {
+	case NoticeTaken:
+		s.take(e)
+	case TripEnded:
+		s.tripEnded(e)
+	case NoticeWithdrawn:
+		if n := s.notices[e.Notice]; n != nil {
+			s.forget(n)
+		}
+	case ListTold:
+		s.listTold(e)
+	case ListFailed:
+		if s.settings.ListOnAsk {
+			s.watchAt = s.now + s.settings.AskWithin/16*Millis(1+s.random())
+		}
+	}
+}
+
+func (s *Sender) do(a Action) { s.actions = append(s.actions, a) }
+
+func (s *Sender) listTold(e ListTold) {
+	if e.Whole {
+		for _, r := range s.receivers {
+			r.standing = Gone
+		}
+	}
+	for _, entry := range e.Entries {
+		r := s.receivers[entry.Receiver]
+		if r == nil {
+			if entry.Standing == Gone {
+				continue
+			}
+			r = &receiver{id: entry.Receiver, zone: entry.Zone, credits: s.credits, creditAt: s.now}
+			s.receivers[entry.Receiver] = r
+			s.place(r, entry)
+		}
+		r.standing = entry.Standing
+		if s.settings.ListedError >= 0 {
+			r.route.listedRate = entry.ListedRate / 1000 / (1 + s.settings.ListedError)
+		}
+	}
+}
+
+// place finds the route of a new receiver.
+func (s *Sender) place(r *receiver, entry Entry) {
+	d := s.destinations[entry.Destination]
+	if d == nil {
+		d = &destination{id: entry.Destination, kind: Kind{PerCall: 1}}
+		if int(entry.Kind) < len(s.settings.Kinds) {
+			d.kind = s.settings.Kinds[entry.Kind]
+		}
+		s.destinations[entry.Destination] = d
+	}
+	if len(d.routes) == 0 || d.kind.Apart {
+		fresh := &route{destination: d, state: closed, window: max(float64(s.settings.Slots)/2, 1),
+			lastHandled: s.now, returnedAt: -never}
+		d.routes = append(d.routes, fresh)
+		s.routes = append(s.routes, fresh)
+	}
+	if d.kind.Apart && int(entry.Zone) < len(s.settings.ZoneFees) {
+		r.fee = s.settings.ZoneFees[entry.Zone]
+	}
+	r.route = d.routes[len(d.routes)-1]
+	r.route.receivers = append(r.route.receivers, r)
+}
+
+// Notices.
+
+func (s *Sender) take(e NoticeTaken) {
+	grade := Grade{ClientTimeout: e.Left, QuotedTime: e.Left}
+	if int(e.Grade) < len(s.settings.Grades) {
+		grade = s.settings.Grades[e.Grade]
+	}
+	n := &notice{id: e.Notice, grade: grade, destination: e.Destination, until: s.now + e.Left}
+	handedIn := n.until - grade.ClientTimeout
+	n.quotedAt = handedIn + grade.QuotedTime
+	n.credit = grade.Credit * s.shareWorth(e.Portfolio)
+	if e.Inherited && grade.Repeat == Numbered {
+		// It may have run, at a receiver that is not told and from its hand-in on. At-most-once notices
+		// that may have run are never handed on.
+		n.mayHaveRun, n.zoneUnknown, n.ranAt = true, true, handedIn
+	}
+	if e.Key != 0 && grade.InOrder {
+		n.key = e.Key
+		if s.keys[n.key] == nil {
+			s.keys[n.key] = &keyLine{}
+		}
+		s.keys[n.key].line = append(s.keys[n.key].line, n)
+	}
+	s.notices[n.id] = n
+	s.held = append(s.held, n)
+}
+
+// shareWorth is what a portfolio's credit counts now: less as this sender's part of its share is passed.
+func (s *Sender) shareWorth(p PortfolioID) float64 {
+	if int(p) >= len(s.portfolios) {
+		return 1
+	}
+	span := s.settings.WarmWithin
+	s.portfolios[p].add(s.now, span, 1)
+	quota := s.settings.Quotas[p] * float64(span) / 1000 / float64(max(s.settings.Senders, 1))
+	within := min(1, quota/s.portfolios[p].value)
+	return s.settings.OverShare + (1-s.settings.OverShare)*within
+}
+
+// worth is the credit that a notice earns when it is handled at a time.
+func (s *Sender) worth(n *notice, at Millis) float64 {
+	switch late := float64((at - n.quotedAt) / (n.until - n.quotedAt)); {
+	case at >= n.until:
+		return 0
+	case at <= n.quotedAt:
+		return n.credit
+	case s.settings.HalvesLate:
+		quoted := float64((at - n.quotedAt) / n.grade.QuotedTime)
+		return n.credit * max(n.grade.LateShare, math.Exp2(-quoted))
+	default:
+		return n.credit * (1 - (1-n.grade.LateShare)*late)
+	}
+}
+
+// end is the one place that gives a final answer. A dismissal tells that a repeat is harmless, so what may
+// have run is broken off.
+func (s *Sender) end(n *notice, back Millis) {
+	if n.mayHaveRun || n.out != nil {
+		s.do(BreakOff{n.id})
+	} else {
+		d := Dismiss{Notice: n.id}
+		if s.settings.RetryAfter && back > s.now && back < never {
+			d.RetryAfter = min(back-s.now, s.settings.RetryMost)
+		}
+		s.do(d)
+	}
+	s.forget(n)
+}
+
+// forget lets go of a notice that is over; while its trip is out, it keeps its place in the key's line.
+func (s *Sender) forget(n *notice) {
+	n.over = true
+	if n.out != nil {
+		return
+	}
+	delete(s.notices, n.id)
+	if k := s.keys[n.key]; k != nil {
+		k.line = slices.DeleteFunc(k.line, func(o *notice) bool { return o == n })
+		if len(k.line) == 0 && k.restUntil <= s.now {
+			delete(s.keys, n.key)
+		}
+	}
+}
+
+// lastCall is when a notice has its final answer at the latest; a timer may land a tick late.
+func (s *Sender) lastCall(n *notice) Millis { return n.until - 3*s.settings.Tick }
+
+// giveUp ends what can no longer be handled, at once.
+func (s *Sender) giveUp() {
+	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
+	for _, n := range s.held {
+		if n.out != nil {
+			continue
+		}
+		opens := s.opensAt(n)
+		if opens >= s.lastCall(n) || s.now >= s.lastCall(n) || n.trips >= s.settings.TripLimit {
+			s.end(n, opens)
+		}
+	}
+	s.makeRoom()
+	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
+}
+
+// opensAt is the earliest time at which the rules may let a notice go, as far as that is known.
+func (s *Sender) opensAt(n *notice) Millis {
+	at, listed := never, false
+	if d := s.destinations[n.destination]; d != nil {
+		for _, r := range d.routes {
+			for _, rc := range r.receivers {
+				listed = listed || rc.standing == Ready
+				at = min(at, s.passesAt(n, rc))
+			}
+		}
+	}
+	if !listed && !n.mayHaveRun {
+		return s.now
+	}
+	return at
+}
+
+// makeRoom guards against a hold full of notices that wait for shut destinations: the least urgent go back to
+// their clients, which may come again, before newcomers for others are turned away unseen.
+func (s *Sender) makeRoom() {
+	spare := int(nearlyFull*float64(s.settings.HoldLimit)) - len(s.held)
+	if s.settings.HoldLimit == 0 || spare >= 0 {
+		return
+	}
+	var stuck []*notice
+	for _, n := range s.held {
+		if n.out == nil && !n.over && !n.mayHaveRun {
+			stuck = append(stuck, n)
+		}
+	}
+	slices.SortStableFunc(stuck, func(a, b *notice) int { return cmp.Compare(a.urgency, b.urgency) })
+	for _, n := range stuck[:min(-spare, len(stuck))] {
+		s.end(n, s.opensAt(n))
+	}
+}
+
+// Outcomes.
+
+func (s *Sender) tripEnded(e TripEnded) {
+	n := s.notices[e.Notice]
+	if n == nil || n.out == nil {
+		return
+	}
+	c := n.out
+	n.out = nil
+	s.settleCall(c, e)
+	mayRun := e.Result != Full && e.Result != NotConnected && e.Result != Moot
+	if k := s.keys[n.key]; k != nil && (e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled) {
+		k.restUntil = s.now + s.settings.KeyRest
+	}
+	if n.trips > 1 && e.Result != Moot {
+		s.again.add(s.now, statisticsWindow, 1)
+		if e.Result == Handled {
+			s.won.add(s.now, statisticsWindow, 1)
+		}
+	}
+	if e.Over || n.over || e.Result == Handled {
+		s.forget(n)
+		return
+	}
+	if mayRun && !n.mayHaveRun {
+		n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
+	}
+	// How often a further trip is made follows how many of the recent ones succeeded.
+	if e.Result != Full && e.Result != Moot {
+		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.again.read(s.now, statisticsWindow) + 1)
+		n.restUntil = s.now + n.grade.QuotedTime/16*Millis(1/succeeded-1)
+	}
+}
+
+// settleCall books a call once, whatever the number of notices aboard.
+func (s *Sender) settleCall(c *call, e TripEnded) {
+	r := c.receiver.route
+	c.waiting--
+	if c.waiting == 0 {
+		s.slotsOut--
+		r.out = slices.DeleteFunc(r.out, func(o *call) bool { return o == c })
+	}
+	r.waitUntil = max(r.waitUntil, s.now+e.Wait)
+	if c.judged {
+		return
+	}
+	c.judged = true
+	if c.trial {
+		r.trials--
+	}
+	if e.LimitTold {
+		r.limitRate = e.LimitRate / 1000
+	}
+	if e.Result != TimedOut && e.Result != NotConnected && e.Result != Reset {
+		c.receiver.credits = min(c.receiver.credits+1, s.credits)
+	}
+	switch e.Result {
+	case Handled:
+		r.backoff = 0
+		s.measure(r, e.Spent)
+		s.success(r, c)
+	case Full:
+		s.full(r, e)
+	case Moot, Cancelled:
+	default:
+		if !c.late {
+			s.failure(r, e.Result)
+		}
+	}
+}
+
+// credit is what a receiver has left. What failed calls have spent comes back within a reset time.
+func (s *Sender) credit(rc *receiver) float64 {
+	full := s.credits
+	rc.credits = min(rc.credits+full*float64((s.now-rc.creditAt)/resetTimeout), full)
+	rc.creditAt = s.now
+	return rc.credits
+}
+
+// measure moves the delay window.
+func (s *Sender) measure(r *route, spent Millis) {
+	span := s.settings.Fall
+	r.delays.add(s.now, span, float64(spent))
+	r.answers.add(s.now, span, 1)
+	r.mean = Millis(r.delays.value / r.answers.value)
+	if r.best == 0 || r.mean < r.best {
+		r.best = r.mean
+	}
+	r.best += (r.mean - r.best) * bestDrift
+	switch {
+	case r.mean <= nearBest*r.best && float64(len(r.out)+1) >= r.window/2:
+		r.window = min(r.window+1/r.window, float64(s.settings.Slots))
+	case r.slow():
+		r.window = max(r.window*narrowing, 1)
+	}
+}
+
+func (r *route) slow() bool { return r.mean > farBest*r.best }
+
+// sick tells whether a route fails, returns or runs slow.
+func (r *route) sick() bool { return r.state != closed || r.run > 0 || r.outage || r.slow() }
+
+func (s *Sender) success(r *route, c *call) {
+	span := s.settings.Fall
+	r.lastHandled = s.now
+	r.handled.add(s.now, span, 1)
+	r.handledRate = max(r.handledRate, r.handled.value/float64(span))
+	r.run = 0
+	if r.outage {
+		r.outage, r.returnedAt = false, s.now
+	}
+	if r.state == halfOpen && c.trial {
+		if r.proved++; r.proved >= halfOpenMaxCalls {
+			s.turn(r, closed, "trials succeeded")
+		}
+		return
+	}
+	s.record(r, false)
+}
+
+func (s *Sender) failure(r *route, why Result) {
+	r.run++
+	r.failed.add(s.now, s.settings.Fall, 1)
+	if r.failed.value >= r.handled.read(s.now, s.settings.Fall) {
+		r.outage = true
+	}
+	if why == TimedOut || why == Reset {
+		r.window = max(r.window*narrowing, 1)
+	}
+	if r.state == halfOpen {
+		s.trip(r, "a trial failed")
+		return
+	}
+	s.record(r, true)
+}
+
+// full is a refusal: the limit, a full queue, or a shut destination.
+func (s *Sender) full(r *route, e TripEnded) {
+	if e.Wait == 0 {
+		r.backoff = min(max(2*r.backoff, s.settings.Fall/16), s.settings.Fall)
+		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()/2))
+	}
+	if r.limitRate == 0 {
+		r.window = max(r.window*narrowing, 1)
+	}
+	if e.Wait > 2*s.settings.Fall || s.now-r.lastHandled > s.settings.Fall {
+		r.outage = true
+	}
+}
+
+// record feeds the sliding window and opens the breaker. Two exceptions to the design: a run of failures with
+// no success between opens it too, since a long window of good calls hides a sudden end, and a shorter run
+// does where the window never fills.
+func (s *Sender) record(r *route, failed bool) {
+	r.outcomes = append(r.outcomes, outcome{s.now, failed})
+	r.outcomes = slices.DeleteFunc(r.outcomes, func(o outcome) bool { return o.at < s.now-statisticsWindow })
+	calls, failures := len(r.outcomes), 0
+	for _, o := range r.outcomes {
+		if o.failed {
+			failures++
+		}
+	}
+	if r.state != closed || !failed {
+		return
+	}
+	many := failures >= failureThreshold && (calls < 2*minimumCallsBeforeCalculation || 2*failures >= calls)
+	switch {
+	case many && calls >= minimumCallsBeforeCalculation:
+		s.trip(r, fmt.Sprintf("%d of %d calls failed", failures, calls))
+	case r.run >= failureThreshold, r.run >= halfOpenMaxCalls && calls < minimumCallsBeforeCalculation:
+		s.trip(r, fmt.Sprintf("%d failures in a row", r.run))
+	}
+}
+
+func (s *Sender) trip(r *route, why string) {
+	r.reopenAt = s.now + resetTimeout
+	r.window = max(r.window/2, 1)
+	r.outage = true
+	s.turn(r, open, why)
+}
+
+func (s *Sender) turn(r *route, state breakerState, why string) {
+	r.state, r.proved, r.trials = state, 0, 0
+	if state == closed {
+		r.outcomes = nil
+	}
+	s.do(Log{fmt.Sprintf("destination %d route %d %s: %s", r.destination.id, r.receivers[0].id, state, why)})
+}
+
+// noticeSilence counts calls that are long overdue as failures before they time out, if nothing came since
+// they left.
+func (s *Sender) noticeSilence() {
+	for _, r := range s.routes {
+		if r.state == open && s.now >= r.reopenAt {
+			s.turn(r, halfOpen, "reset time over")
+		}
+		for _, c := range r.out {
+			if !c.late && !c.judged && s.now >= s.overdueAt(c) && c.sentAt >= r.lastHandled {
+				c.late = true
+				s.failure(r, TimedOut)
+			}
+		}
+	}
+}
+
+func (s *Sender) overdueAt(c *call) Millis {
+	return c.sentAt + max(overdue*c.receiver.route.mean, s.settings.Fall/2)
+}
+
+// Sending.
+
+// serve sends what may be sent, the most urgent first.
+func (s *Sender) serve() {
+	var ready []*notice
+	for _, n := range s.held {
+		if !n.over && n.out == nil && s.now < s.lastCall(n) {
+			n.urgency = s.worth(n, s.now) - foresight*s.worth(n, s.now+n.grade.QuotedTime)
+			ready = append(ready, n)
+		}
+	}
+	slices.SortStableFunc(ready, func(a, b *notice) int { return cmp.Compare(b.urgency, a.urgency) })
+	for _, reissuableOnly := range []bool{true, false} {
+		for _, n := range ready {
+			if n.out == nil {
+				s.offer(n, reissuableOnly)
+			}
+		}
+	}
+}
+
+// offer sends a notice to the best receiver that the gate lets it go to. To a sick route, reissuable notices
+// go first: what they find out costs nothing.
+func (s *Sender) offer(n *notice, first bool) {
+	d := s.destinations[n.destination]
+	if d == nil {
+		return
+	}
+	var best *receiver
+	var bestScore float64
+	for _, r := range d.routes {
+		if first && r.sick() && n.grade.Repeat != Reissuable {
+			continue
+		}
+		for _, rc := range r.receivers {
+			if !s.gate(n, rc) {
+				continue
+			}
+			score := s.credit(rc) - rc.fee*100*s.credits - float64(len(r.out))
+			if s.joins(rc) != nil {
+				score += float64(s.settings.Slots)
+			}
+			if best == nil || score > bestScore {
+				best, bestScore = rc, score
+			}
+		}
+	}
+	if best != nil {
+		s.send(n, best)
+	}
+}
+
+// joins is the call begun in this turn that a further notice for a receiver would travel on.
+func (s *Sender) joins(rc *receiver) *call {
+	for _, c := range s.fresh {
+		if c.receiver == rc && c.riders < rc.route.destination.kind.PerCall {
+			return c
+		}
+	}
+	return nil
+}
+
+// passesAt is the earliest time at which the six rules let a notice go to a receiver.
+func (s *Sender) passesAt(n *notice, rc *receiver) Millis {
+	r := rc.route
+	if rc.standing != Ready || !s.repeatSafe(n, rc) {
+		return never
+	}
+	at := max(s.now, n.restUntil, r.waitUntil)
+	if r.state == open {
+		at = max(at, r.reopenAt)
+	}
+	if s.returning(r) && s.joins(rc) == nil {
+		at = max(at, r.paceAt)
+	}
+	if k := s.keys[n.key]; k != nil {
+		at = max(at, k.restUntil)
+	}
+	if n.mayHaveRun && n.grade.Repeat == Numbered && at >= n.ranAt+n.grade.RemembersFor {
+		return never
+	}
+	return at
+}
+
+// gate is passed by every send, in every state: it keeps the rules and the slots.
+func (s *Sender) gate(n *notice, rc *receiver) bool {
+	if k := s.keys[n.key]; k != nil && k.line[0] != n || s.passesAt(n, rc) > s.now {
+		return false
+	}
+	if s.joins(rc) != nil {
+		return true
+	}
+	begun := func(c *call) bool { return c.receiver == rc }
+	if rc.route.destination.kind.PerCall > 1 && slices.ContainsFunc(s.fresh, begun) {
+		return false
+	}
+	return s.roomFor(rc.route) && s.credit(rc) >= 1
+}
+
+func (s *Sender) roomFor(r *route) bool {
+	if s.slotsOut >= s.settings.Slots || r.state == open {
+		return false
+	}
+	if r.state == halfOpen && r.trials+r.proved >= halfOpenMaxCalls {
+		return false
+	}
+	calls, sick := 0, false
+	for _, o := range r.destination.routes {
+		calls += len(o.out)
+		sick = sick || o.sick()
+	}
+	share := 0.75
+	if sick {
+		share = 0.5
+	}
+	most := max(math.Floor(share*float64(s.settings.Slots)), 1)
+	return float64(calls) < most && float64(len(r.out)) < max(math.Floor(min(r.window, most)), 1)
+}
+
+// repeatSafe keeps an effect from happening twice.
+func (s *Sender) repeatSafe(n *notice, rc *receiver) bool {
+	if !n.mayHaveRun || n.grade.Repeat == Reissuable {
+		return true
+	}
+	if n.grade.Repeat == AtMostOnce {
+		return false
+	}
+	if !n.grade.ZoneOnly {
+		return true
+	}
+	if !n.zoneUnknown {
+		return rc.zone == n.ranZone
+	}
+	for _, o := range s.receivers {
+		if o.route.destination == rc.route.destination && o.zone != rc.zone {
+			return false
+		}
+	}
+	return true
+}
+
+// returning tells whether a route is held to the pace of a return.
+func (s *Sender) returning(r *route) bool {
+	return r.outage || s.now < r.returnedAt+s.settings.WarmWithin
+}
+
+// pace is the span between two sends to a returning route.
+func (s *Sender) pace(r *route) Millis {
+	warm := 0.0
+	if !r.outage {
+		warm = min(float64((s.now-r.returnedAt)/s.settings.WarmWithin), 1)
+	}
+	capacity := max(r.limitRate, r.listedRate, r.handledRate, 1/float64(s.settings.Fall))
+	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
+	return Millis(1 / (ownPart / float64(max(s.settings.Senders, 1)) * s.settings.TipMultiple * capacity))
+}
+
+func (s *Sender) send(n *notice, rc *receiver) {
+	r := rc.route
+	c := s.joins(rc)
+	if c == nil {
+		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen}
+		r.out = append(r.out, c)
+		s.fresh = append(s.fresh, c)
+		s.slotsOut++
+		rc.credits--
+		r.paceAt = s.now + s.pace(r)
+		if c.trial {
+			r.trials++
+		}
+	}
+	c.riders++
+	c.waiting++
+	n.out = c
+	n.trips++
+	s.do(Send{n.id, rc.id, s.timeOut(n)})
+}
+
+// timeOut is how long a trip may take. What must not run twice is lost with a time-out, so it waits longer.
+func (s *Sender) timeOut(n *notice) Millis {
+	patience := n.grade.QuotedTime
+	if n.grade.Repeat == AtMostOnce {
+		patience *= 3
+	}
+	return min(patience, s.lastCall(n)-s.now)
+}
+
+// Timers.
+
+// setTimer asks to be woken when the next thing may be due that no other event brings.
+func (s *Sender) setTimer() {
+	next := s.watchAt
+	for _, n := range s.held {
+		if n.out != nil {
+			continue
+		}
+		next = min(next, s.lastCall(n))
+		if at := s.opensAt(n); at > s.now {
+			next = min(next, at)
+		}
+	}
+	for _, r := range s.routes {
+		for _, c := range r.out {
+			if !c.late && c.sentAt >= r.lastHandled {
+				next = min(next, s.overdueAt(c))
+			}
+		}
+	}
+	if s.timerAt <= s.now {
+		s.timerAt = never
+	}
+	next = max(next, s.now+s.settings.Tick)
+	if next < s.timerAt {
+		s.timerAt = next
+		s.do(SetTimer{After: next - s.now})
+	}
+}
