Sure outages only, shares of told limits, silence counted together

Change: an outage is sure only after two falls without a success, a long told wait or an opened breaker; overdue calls count together as a run; sends under a told limit are spaced by this sender's share of it, which a refusal lowers and successes raise; a return counts from a call sent after the last sign. Also guards against: single slow or failed calls on any destination with little traffic. Harm: an outage shorter than two falls, seen only by refusals, returns at full pace. State and its two tools moved to rules/state.go, which decides nothing.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,132 +19,24 @@
 	halfOpenMaxCalls                     = 3
 
 	// The delay window's steps.
-	nearBest   = 2.0  // a mean delay up to so many times the best counts as near it
-	farBest    = 4.0  // from here on it counts as slow
-	narrowing  = 0.9  // what is left of the window after a slow answer
+	nearBest  = 2.0  // a mean delay up to so many times the best counts as near it
+	farBest   = 4.0  // from here on it counts as slow
+	narrowing = 0.9  // what is left of the window after a slow answer
+	bestDrift = 0.01 // how far each answer draws the best delay up to the mean
+
 	overdue    = 6.0  // a call out so many times the mean delay is overdue
-	bestDrift  = 0.01 // how far each answer draws the best delay up to the mean
 	creditPart = 0.25 // a receiver's credits, as a share of the slots
 	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
+	nearlyFull = 0.9  // of the hold limit: from here on the least promising make room
 	ownPart    = 0.66 // of the return budget: rule 4 counts from two thirds on
-	nearlyFull = 0.9  // of the hold limit: from here on the least urgent make room
+	sureAfter  = 2.0  // an outage is sure after so many falls without a success
+	burstPart  = 0.25 // of a fall: what was not sent under a limit for so long may be made up
+	yielding   = 0.7  // what is left of this sender's share of a limit after a refusal
+	leastShare = 1.0 / 16
 
 	never = Millis(math.MaxFloat64)
 )
 
-type breakerState string
-
-const (
-	closed   breakerState = "closed"
-	open     breakerState = "open"
-	halfOpen breakerState = "half-open"
-)
-
-// sum is a decaying sum, brought up to date when it is read.
-type sum struct {
-	value float64
-	at    Millis
-}
-
-func (d *sum) read(now, span Millis) float64 {
-	d.value *= math.Exp(-float64((now - d.at) / span))
-	d.at = now
-	return d.value
-}
-
-func (d *sum) add(now, span Millis, x float64) { d.value = d.read(now, span) + x }
-
-type outcome struct {
-	at     Millis
-	failed bool
-}
-
-// call is one trip to a receiver, with all the notices that travel on it.
-type call struct {
-	receiver            *receiver
-	sentAt              Millis
-	riders, waiting     int // notices aboard; those without an outcome yet
-	judged, late, trial bool
-}
-
-type receiver struct {
-	id       ReceiverID
-	route    *route
-	zone     ZoneID
-	standing Standing
-	fee      float64
-	credits  float64
-	creditAt Millis
-}
-
-// route is what has a breaker, a delay window, a wait and a pace of its own: a destination, or where a
-// destination's receivers are separate routes, one of these.
-type route struct {
-	destination *destination
-	receivers   []*receiver
-	out         []*call
-
-	state               breakerState
-	outcomes            []outcome
-	reopenAt            Millis
-	trials, proved, run int // trials out and succeeded; failures since the last success
-
-	window, limitRate, listedRate, handledRate float64 // rates a millisecond: told, listed, the most seen
-	delays, answers, handled, failed           sum
-	mean, best, backoff                        Millis
-	waitUntil, lastHandled                     Millis
-	outage                                     bool // seen, and no success since
-	returnedAt, paceAt                         Millis
-}
-
-type destination struct {
-	id     DestinationID
-	kind   Kind
-	routes []*route
-}
-
-// keyLine holds the notices of one key in the order in which they were taken.
-type keyLine struct {
-	line      []*notice
-	restUntil Millis
-}
-
-type notice struct {
-	id                         NoticeID
-	grade                      Grade
-	destination                DestinationID
-	key                        KeyID
-	credit, urgency            float64
-	quotedAt, until, restUntil Millis
-	trips                      int
-	out                        *call
-	mayHaveRun, zoneUnknown    bool
-	ranAt                      Millis // the first trip that may have run
-	ranZone                    ZoneID
-	over                       bool
-}
-
-// Sender decides for one sender.
-type Sender struct {
-	settings     Settings
-	chance       uint64
-	now          Millis
-	actions      []Action
-	notices      map[NoticeID]*notice
-	held         []*notice // those not over, in the order taken
-	destinations map[DestinationID]*destination
-	routes       []*route
-	receivers    map[ReceiverID]*receiver
-	keys         map[KeyID]*keyLine
-	portfolios   []sum
-	credits      float64 // of a receiver, at most
-	slotsOut     int
-	fresh        []*call // calls begun in this turn
-	again, won   sum     // further trips and those that succeeded
-	timerAt      Millis
-	watchAt      Millis
-}
-
 // New starts a sender that knows only its settings and its seed.
 func New(seed uint64, settings Settings) *Sender {
 	s := &Sender{
@@ -165,15 +57,6 @@
 	return s
 }
 
-// random is a permuted congruential generator's next number, from 0 to below 1.
-func (s *Sender) random() float64 {
-	old := s.chance
-	s.chance = old*6364136223846793005 + 1442695040888963407
-	x := uint32(((old >> 18) ^ old) >> 27)
-	r := uint32(old >> 59)
-	return float64(x>>r|x<<(-r&31)) / (1 << 32)
-}
-
 // Decide takes what happened and returns what is to be done.
 func (s *Sender) Decide(now Millis, events []Event) []Action {
 	s.now, s.actions, s.fresh = now, nil, nil
@@ -184,7 +67,7 @@
 		s.watchAt = never
 		s.do(WatchList{})
 	}
-	s.noticeSilence()
+	s.stepBreakers()
 	s.serve()
 	s.giveUp()
 	s.setTimer()
@@ -247,7 +130,7 @@
 	}
 	if len(d.routes) == 0 || d.kind.Apart {
 		fresh := &route{destination: d, state: closed, window: max(float64(s.settings.Slots)/2, 1),
-			lastHandled: s.now, returnedAt: -never}
+			share: 1, badSince: never, returnedAt: -never}
 		d.routes = append(d.routes, fresh)
 		s.routes = append(s.routes, fresh)
 	}
@@ -378,8 +261,8 @@
 	return at
 }
 
-// makeRoom guards against a hold full of notices that wait for shut destinations: the least urgent go back to
-// their clients, which may come again, before newcomers for others are turned away unseen.
+// makeRoom guards against a hold full of notices that wait for shut destinations: those that promise least go
+// back to their clients, which may come again, before newcomers for others are turned away unseen.
 func (s *Sender) makeRoom() {
 	spare := int(nearlyFull*float64(s.settings.HoldLimit)) - len(s.held)
 	if s.settings.HoldLimit == 0 || spare >= 0 {
@@ -388,6 +271,7 @@
 	var stuck []*notice
 	for _, n := range s.held {
 		if n.out == nil && !n.over && !n.mayHaveRun {
+			n.urgency = s.worth(n, s.opensAt(n))
 			stuck = append(stuck, n)
 		}
 	}
@@ -434,8 +318,7 @@
 // settleCall books a call once, whatever the number of notices aboard.
 func (s *Sender) settleCall(c *call, e TripEnded) {
 	r := c.receiver.route
-	c.waiting--
-	if c.waiting == 0 {
+	if c.waiting--; c.waiting == 0 {
 		s.slotsOut--
 		r.out = slices.DeleteFunc(r.out, func(o *call) bool { return o == c })
 	}
@@ -444,35 +327,29 @@
 		return
 	}
 	c.judged = true
-	if c.trial {
-		r.trials--
-	}
 	if e.LimitTold {
 		r.limitRate = e.LimitRate / 1000
 	}
-	if e.Result != TimedOut && e.Result != NotConnected && e.Result != Reset {
-		c.receiver.credits = min(c.receiver.credits+1, s.credits)
-	}
-	switch e.Result {
-	case Handled:
-		r.backoff = 0
+	switch {
+	case e.Result == Handled:
+		s.earn(c.receiver, 2)
 		s.measure(r, e.Spent)
 		s.success(r, c)
-	case Full:
-		s.full(r, e)
-	case Moot, Cancelled:
+	case e.Result == Full:
+		s.earn(c.receiver, 1)
+		s.refused(r, c, e.Wait)
+	case e.Result == Moot || e.Result == Cancelled || e.Result == TimedOut && c.curbed:
+		s.earn(c.receiver, 1)
 	default:
-		if !c.late {
-			s.failure(r, e.Result)
-		}
+		s.failure(r, c, e.Result)
 	}
 }
 
-// credit is what a receiver has left. What failed calls have spent comes back within a reset time.
-func (s *Sender) credit(rc *receiver) float64 {
-	full := s.credits
-	rc.credits = min(rc.credits+full*float64((s.now-rc.creditAt)/resetTimeout), full)
-	rc.creditAt = s.now
+// earn gives a receiver credits back: an answer what its send has spent, a success what a failed call has
+// spent besides. What stays lost comes back one a fall.
+func (s *Sender) earn(rc *receiver, credits float64) float64 {
+	credits += float64((s.now - rc.creditAt) / s.settings.Fall)
+	rc.credits, rc.creditAt = min(rc.credits+credits, s.credits), s.now
 	return rc.credits
 }
 
@@ -496,17 +373,35 @@
 
 func (r *route) slow() bool { return r.mean > farBest*r.best }
 
-// sick tells whether a route fails, returns or runs slow.
-func (r *route) sick() bool { return r.state != closed || r.run > 0 || r.outage || r.slow() }
+// sick tells whether a route fails, is silent or runs slow.
+func (s *Sender) sick(r *route) bool {
+	return r.state != closed || r.run > 0 || r.late > 0 || s.outage(r) || r.slow()
+}
+
+// outage tells whether an outage is sure and goes on, as far as is known.
+func (s *Sender) outage(r *route) bool { return s.now-r.badSince >= sureAfter*s.settings.Fall }
+
+// sign notes a sign of an outage.
+func (s *Sender) sign(r *route, sure bool) {
+	r.badSince = min(r.badSince, s.now)
+	r.badAt = max(s.now, r.waitUntil)
+	if sure {
+		r.badSince = min(r.badSince, s.now-sureAfter*s.settings.Fall)
+	}
+}
 
 func (s *Sender) success(r *route, c *call) {
-	span := s.settings.Fall
-	r.lastHandled = s.now
-	r.handled.add(s.now, span, 1)
-	r.handledRate = max(r.handledRate, r.handled.value/float64(span))
-	r.run = 0
-	if r.outage {
-		r.outage, r.returnedAt = false, s.now
+	r.answeredAt, r.run, r.backoff = s.now, 0, 0
+	r.handled.add(s.now, s.settings.Fall, 1)
+	r.steady.add(s.now, s.settings.WarmWithin, 1)
+	r.handledRate = max(r.handledRate, r.steady.value/float64(s.settings.WarmWithin))
+	r.share = min(r.share+1/(4*r.limitRate*float64(s.settings.Fall)+1), 1)
+	// An answer to a call from before the last sign of an outage tells nothing of its end.
+	if c.sentAt >= r.badAt {
+		if s.outage(r) {
+			r.returnedAt = s.now
+		}
+		r.badSince = never
 	}
 	if r.state == halfOpen && c.trial {
 		if r.proved++; r.proved >= halfOpenMaxCalls {
@@ -517,33 +412,40 @@
 	s.record(r, false)
 }
 
-func (s *Sender) failure(r *route, why Result) {
+func (s *Sender) failure(r *route, c *call, why Result) {
 	r.run++
 	r.failed.add(s.now, s.settings.Fall, 1)
-	if r.failed.value >= r.handled.read(s.now, s.settings.Fall) {
-		r.outage = true
-	}
-	if why == TimedOut || why == Reset {
+	s.sign(r, r.failed.value >= max(r.handled.read(s.now, s.settings.Fall), 2))
+	if why == Errored {
+		r.answeredAt = s.now
+	} else {
 		r.window = max(r.window*narrowing, 1)
 	}
-	if r.state == halfOpen {
+	if r.state == halfOpen && c.trial {
 		s.trip(r, "a trial failed")
 		return
 	}
 	s.record(r, true)
 }
 
-// full is a refusal: the limit, a full queue, or a shut destination.
-func (s *Sender) full(r *route, e TripEnded) {
-	if e.Wait == 0 {
+// refused heeds a refusal: the limit, a full queue, or a shut destination.
+func (s *Sender) refused(r *route, c *call, wait Millis) {
+	r.answeredAt = s.now
+	if wait == 0 {
 		r.backoff = min(max(2*r.backoff, s.settings.Fall/16), s.settings.Fall)
 		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()/2))
 	}
-	if r.limitRate == 0 {
-		r.window = max(r.window*narrowing, 1)
+	if wait == 0 || wait > sureAfter*s.settings.Fall {
+		s.sign(r, wait > 0)
 	}
-	if e.Wait > 2*s.settings.Fall || s.now-r.lastHandled > s.settings.Fall {
-		r.outage = true
+	if c.sentAt < r.yieldedAt {
+		return
+	}
+	r.yieldedAt = s.now
+	if r.limitRate > 0 {
+		r.share = max(r.share*yielding, leastShare)
+	} else {
+		r.window = max(r.window*narrowing, 1)
 	}
 }
 
@@ -566,46 +468,53 @@
 	switch {
 	case many && calls >= minimumCallsBeforeCalculation:
 		s.trip(r, fmt.Sprintf("%d of %d calls failed", failures, calls))
-	case r.run >= failureThreshold, r.run >= halfOpenMaxCalls && calls < minimumCallsBeforeCalculation:
+	case r.run >= r.tolerance():
 		s.trip(r, fmt.Sprintf("%d failures in a row", r.run))
 	}
 }
 
+// tolerance is how many failures in a row a closed breaker bears.
+func (r *route) tolerance() int {
+	if len(r.outcomes) < minimumCallsBeforeCalculation {
+		return halfOpenMaxCalls
+	}
+	return failureThreshold
+}
+
 func (s *Sender) trip(r *route, why string) {
 	r.reopenAt = s.now + resetTimeout
 	r.window = max(r.window/2, 1)
-	r.outage = true
+	s.sign(r, true)
 	s.turn(r, open, why)
 }
 
 func (s *Sender) turn(r *route, state breakerState, why string) {
-	r.state, r.proved, r.trials = state, 0, 0
+	r.state, r.proved = state, 0
 	if state == closed {
 		r.outcomes = nil
 	}
 	s.do(Log{fmt.Sprintf("destination %d route %d %s: %s", r.destination.id, r.receivers[0].id, state, why)})
 }
 
-// noticeSilence counts calls that are long overdue as failures before they time out, if nothing came since
-// they left.
-func (s *Sender) noticeSilence() {
+// stepBreakers lets reset times run out, and notices silence before calls time out: calls that are overdue
+// with no answer since they left count like failures in a row.
+func (s *Sender) stepBreakers() {
 	for _, r := range s.routes {
 		if r.state == open && s.now >= r.reopenAt {
 			s.turn(r, halfOpen, "reset time over")
 		}
+		r.late = 0
 		for _, c := range r.out {
-			if !c.late && !c.judged && s.now >= s.overdueAt(c) && c.sentAt >= r.lastHandled {
-				c.late = true
-				s.failure(r, TimedOut)
+			if r.state == closed && c.overdueAt <= s.now && c.sentAt >= r.answeredAt {
+				r.late++
 			}
 		}
+		if r.late > 0 && r.late+r.run >= r.tolerance() {
+			s.trip(r, fmt.Sprintf("%d calls overdue", r.late))
+		}
 	}
 }
 
-func (s *Sender) overdueAt(c *call) Millis {
-	return c.sentAt + max(overdue*c.receiver.route.mean, s.settings.Fall/2)
-}
-
 // Sending.
 
 // serve sends what may be sent, the most urgent first.
@@ -637,14 +546,14 @@
 	var best *receiver
 	var bestScore float64
 	for _, r := range d.routes {
-		if first && r.sick() && n.grade.Repeat != Reissuable {
+		if first && s.sick(r) && n.grade.Repeat != Reissuable {
 			continue
 		}
 		for _, rc := range r.receivers {
 			if !s.gate(n, rc) {
 				continue
 			}
-			score := s.credit(rc) - rc.fee*100*s.credits - float64(len(r.out))
+			score := s.earn(rc, 0) - rc.fee*100*s.credits - float64(len(r.out))
 			if s.joins(rc) != nil {
 				score += float64(s.settings.Slots)
 			}
@@ -678,7 +587,7 @@
 	if r.state == open {
 		at = max(at, r.reopenAt)
 	}
-	if s.returning(r) && s.joins(rc) == nil {
+	if s.joins(rc) == nil {
 		at = max(at, r.paceAt)
 	}
 	if k := s.keys[n.key]; k != nil {
@@ -702,20 +611,25 @@
 	if rc.route.destination.kind.PerCall > 1 && slices.ContainsFunc(s.fresh, begun) {
 		return false
 	}
-	return s.roomFor(rc.route) && s.credit(rc) >= 1
+	return s.roomFor(rc.route) && s.earn(rc, 0) >= 1
 }
 
 func (s *Sender) roomFor(r *route) bool {
 	if s.slotsOut >= s.settings.Slots || r.state == open {
 		return false
 	}
-	if r.state == halfOpen && r.trials+r.proved >= halfOpenMaxCalls {
-		return false
-	}
-	calls, sick := 0, false
+	calls, sick, trials := 0, false, r.proved
 	for _, o := range r.destination.routes {
 		calls += len(o.out)
-		sick = sick || o.sick()
+		sick = sick || s.sick(o)
+	}
+	for _, c := range r.out {
+		if c.trial {
+			trials++
+		}
+	}
+	if r.state == halfOpen && trials >= halfOpenMaxCalls {
+		return false
 	}
 	share := 0.75
 	if sick {
@@ -747,35 +661,51 @@
 	return true
 }
 
-// returning tells whether a route is held to the pace of a return.
-func (s *Sender) returning(r *route) bool {
-	return r.outage || s.now < r.returnedAt+s.settings.WarmWithin
+// rate is how many calls a millisecond may leave for a route: this sender's share of the limit, and after an
+// outage its part of what the route can take while cold.
+func (s *Sender) rate(r *route) (rate float64, returning bool) {
+	rate = math.Inf(1)
+	if r.limitRate > 0 {
+		rate = r.share * r.limitRate
+	}
+	warm := float64((s.now - r.returnedAt) / s.settings.WarmWithin)
+	if s.outage(r) {
+		warm = 0
+	}
+	if warm >= 1 {
+		return rate, false
+	}
+	others := float64(max(s.settings.Senders, 1))
+	capacity := max(r.limitRate/others, r.listedRate/others, r.handledRate, 1/float64(s.settings.Fall))
+	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
+	return min(rate, ownPart*s.settings.TipMultiple*capacity), true
 }
 
-// pace is the span between two sends to a returning route.
-func (s *Sender) pace(r *route) Millis {
-	warm := 0.0
-	if !r.outage {
-		warm = min(float64((s.now-r.returnedAt)/s.settings.WarmWithin), 1)
+// pace moves the time of the next call to a route.
+func (s *Sender) pace(r *route) {
+	rate, returning := s.rate(r)
+	from := s.now
+	if !returning {
+		from = max(r.paceAt, s.now-burstPart*s.settings.Fall)
 	}
-	capacity := max(r.limitRate, r.listedRate, r.handledRate, 1/float64(s.settings.Fall))
-	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
-	return Millis(1 / (ownPart / float64(max(s.settings.Senders, 1)) * s.settings.TipMultiple * capacity))
+	r.paceAt = from + Millis(1/rate)
 }
 
 func (s *Sender) send(n *notice, rc *receiver) {
 	r := rc.route
 	c := s.joins(rc)
 	if c == nil {
-		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen}
+		wait := max(overdue*r.mean, n.grade.QuotedTime/2)
+		if r.mean == 0 {
+			wait = n.grade.QuotedTime
+		}
+		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen, overdueAt: s.now + wait,
+			curbed: s.lastCall(n)-s.now < n.grade.QuotedTime}
 		r.out = append(r.out, c)
 		s.fresh = append(s.fresh, c)
 		s.slotsOut++
 		rc.credits--
-		r.paceAt = s.now + s.pace(r)
-		if c.trial {
-			r.trials++
-		}
+		s.pace(r)
 	}
 	c.riders++
 	c.waiting++
@@ -809,8 +739,8 @@
 	}
 	for _, r := range s.routes {
 		for _, c := range r.out {
-			if !c.late && c.sentAt >= r.lastHandled {
-				next = min(next, s.overdueAt(c))
+			if c.overdueAt > s.now && r.state == closed {
+				next = min(next, c.overdueAt)
 			}
 		}
 	}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,131 @@
+package rules
+
+import "math"
+
+// What a sender remembers, and the two tools that it keeps it with. Nothing is decided here.
+
+type breakerState string
+
+const (
+	closed   breakerState = "closed"
+	open     breakerState = "open"
+	halfOpen breakerState = "half-open"
+)
+
+// sum is a decaying sum, brought up to date when it is read.
+type sum struct {
+	value float64
+	at    Millis
+}
+
+func (d *sum) read(now, span Millis) float64 {
+	d.value *= math.Exp(-float64((now - d.at) / span))
+	d.at = now
+	return d.value
+}
+
+func (d *sum) add(now, span Millis, x float64) { d.value = d.read(now, span) + x }
+
+type outcome struct {
+	at     Millis
+	failed bool
+}
+
+// call is one trip to a receiver, with all the notices that travel on it.
+type call struct {
+	receiver              *receiver
+	sentAt, overdueAt     Millis
+	riders, waiting       int  // notices aboard; those without an outcome yet
+	judged, trial, curbed bool // curbed: its time-out was cut short by the client timeout
+}
+
+type receiver struct {
+	id       ReceiverID
+	route    *route
+	zone     ZoneID
+	standing Standing
+	fee      float64
+	credits  float64
+	creditAt Millis
+}
+
+// route is what has a breaker, a delay window, a wait and a pace of its own: a destination, or where a
+// destination's receivers are separate routes, one of these.
+type route struct {
+	destination *destination
+	receivers   []*receiver
+	out         []*call
+
+	state                   breakerState
+	outcomes                []outcome
+	reopenAt                Millis
+	proved, run, late       int // trials succeeded; failures since the last success; calls overdue
+	delays, answers         sum
+	mean, best, answeredAt  Millis
+	window                  float64
+	waitUntil, backoff      Millis
+	limitRate, listedRate   float64 // as told and as listed, a millisecond
+	share                   float64 // of the limit, that this sender may use
+	yieldedAt               Millis
+	handled, failed, steady sum
+	handledRate             float64 // the most that was seen for long, a millisecond
+	badSince, badAt         Millis  // first and last sign of an outage with no success of a later call
+	returnedAt, paceAt      Millis
+}
+
+type destination struct {
+	id     DestinationID
+	kind   Kind
+	routes []*route
+}
+
+// keyLine holds the notices of one key in the order in which they were taken.
+type keyLine struct {
+	line      []*notice
+	restUntil Millis
+}
+
+type notice struct {
+	id                         NoticeID
+	grade                      Grade
+	destination                DestinationID
+	key                        KeyID
+	credit, urgency            float64
+	quotedAt, until, restUntil Millis
+	trips                      int
+	out                        *call
+	mayHaveRun, zoneUnknown    bool
+	ranAt                      Millis // the first trip that may have run
+	ranZone                    ZoneID
+	over                       bool
+}
+
+// Sender decides for one sender.
+type Sender struct {
+	settings     Settings
+	chance       uint64
+	now          Millis
+	actions      []Action
+	notices      map[NoticeID]*notice
+	held         []*notice // those not over, in the order taken
+	destinations map[DestinationID]*destination
+	routes       []*route
+	receivers    map[ReceiverID]*receiver
+	keys         map[KeyID]*keyLine
+	portfolios   []sum
+	credits      float64 // of a receiver, at most
+	slotsOut     int
+	fresh        []*call // calls begun in this turn
+	again, won   sum     // further trips and those that succeeded
+	timerAt      Millis
+	watchAt      Millis
+}
+
+// random is a permuted congruential generator's next number, from 0 to below 1.
+func (s *Sender) random() float64 {
+	old := s.chance
+	s.chance = old*6364136223846793005 + 1442695040888963407
+	x := uint32(((old >> 18) ^ old) >> 27)
+	r := uint32(old >> 59)
+	return float64(x>>r|x<<(-r&31)) / (1 << 32)
+}
