Time-outs grow with the mean delay and with each trip

Work differs by notice, so a heavy one at a slow destination can't be done in that time, and each time-out leaves it running there. Also guards against: overload fed by repeats. Harm: a call lost in silence is noticed later where nothing else goes to the destination; the overdue count stands against that.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -711,12 +711,13 @@
 	c.waiting++
 	n.out = c
 	n.trips++
-	s.do(Send{n.id, rc.id, s.timeOut(n)})
+	s.do(Send{n.id, rc.id, s.timeOut(n, r)})
 }
 
-// timeOut is how long a trip may take. What must not run twice is lost with a time-out, so it waits longer.
-func (s *Sender) timeOut(n *notice) Millis {
-	patience := n.grade.QuotedTime
+// timeOut is how long a trip may take: longer where calls are slow, and with each trip, since the notice may be
+// what is slow. What must not run twice is lost with a time-out, so it waits longer.
+func (s *Sender) timeOut(n *notice, r *route) Millis {
+	patience := max(n.grade.QuotedTime, overdue*r.mean) * Millis(n.trips)
 	if n.grade.Repeat == AtMostOnce {
 		patience *= 3
 	}
