--- a/internal/benchwire/encode.go
+++ b/internal/benchwire/encode.go
@@ -16,6 +16,7 @@
 	codeDropRequest   = 1020
 	codeWithdraw      = 1030
 	codeRemind        = 1040
+	codeLetGo         = 1060
 	codeEmit          = 1080
 	codeStreamChanges = 1100
 )
@@ -58,6 +59,9 @@
 		w.head(codeWithdraw, 7, who)
 		w.u32(uint32(a.Notice))
 		w.body = append(w.body, uint8(a.Trip))
+	case rules.LetGo:
+		w.head(codeLetGo, 6, who)
+		w.u32(uint32(a.Receiver))
 	case rules.SetTimer:
 		w.head(codeRemind, 14, who)
 		w.u32(micro(a.After))
--- a/rules/api.go
+++ b/rules/api.go
@@ -169,6 +169,8 @@
 		Notice NoticeID
 		Trip   int
 	}
+	// LetGo closes this sender's idle connections to a receiver.
+	LetGo struct{ Receiver ReceiverID }
 	// SetTimer asks for TimerDue.
 	SetTimer struct {
 		After Millis
@@ -184,6 +186,7 @@
 func (Dismiss) action()   {}
 func (BreakOff) action()  {}
 func (CallOff) action()   {}
+func (LetGo) action()     {}
 func (SetTimer) action()  {}
 func (WatchList) action() {}
 func (Log) action()       {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,6 +33,7 @@
 	burstPart  = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding   = 0.7  // what is left of this sender's share of a limit after a refusal
 	leastShare = 1.0 / 16
+	breaking   = 0.02 // of the calls reset: from here on, idle connections are not trusted
 
 	never = Millis(math.MaxFloat64)
 )
@@ -327,6 +328,10 @@
 		return
 	}
 	c.judged = true
+	s.calls.add(s.now, statisticsWindow, 1)
+	if e.Result == Reset {
+		s.resets.add(s.now, statisticsWindow, 1)
+	}
 	if e.LimitTold {
 		r.limitRate = e.LimitRate / 1000
 	}
@@ -706,6 +711,11 @@
 		s.slotsOut++
 		rc.credits--
 		s.pace(r)
+		// Where connections break, an idle one may be dead already: what goes out on it may be lost, and for
+		// good if it must not run twice. A new one costs a handshake.
+		if s.resets.read(s.now, statisticsWindow) > max(breaking*s.calls.read(s.now, statisticsWindow), 0.5) {
+			s.do(LetGo{rc.id})
+		}
 	}
 	c.riders++
 	c.waiting++
@@ -714,7 +724,7 @@
 	s.do(Send{n.id, rc.id, s.timeOut(n, r)})
 }
 
-// timeOut is how long a trip may take: longer where calls are slow, and with each trip, since the notice may be
+// timeOut is how long a trip may take: longer where calls are slow, and with each trip, as the notice may be
 // what is slow. What must not run twice is lost with a time-out, so it waits longer.
 func (s *Sender) timeOut(n *notice, r *route) Millis {
 	patience := max(n.grade.QuotedTime, overdue*r.mean) * Millis(n.trips)
--- a/rules/state.go
+++ b/rules/state.go
@@ -102,23 +102,24 @@
 
 // Sender decides for one sender.
 type Sender struct {
-	settings     Settings
-	chance       uint64
-	now          Millis
-	actions      []Action
-	notices      map[NoticeID]*notice
-	held         []*notice // those not over, in the order taken
-	destinations map[DestinationID]*destination
-	routes       []*route
-	receivers    map[ReceiverID]*receiver
-	keys         map[KeyID]*keyLine
-	portfolios   []sum
-	credits      float64 // of a receiver, at most
-	slotsOut     int
-	fresh        []*call // calls begun in this turn
-	again, won   sum     // further trips and those that succeeded
-	timerAt      Millis
-	watchAt      Millis
+	settings      Settings
+	chance        uint64
+	now           Millis
+	actions       []Action
+	notices       map[NoticeID]*notice
+	held          []*notice // those not over, in the order taken
+	destinations  map[DestinationID]*destination
+	routes        []*route
+	receivers     map[ReceiverID]*receiver
+	keys          map[KeyID]*keyLine
+	portfolios    []sum
+	credits       float64 // of a receiver, at most
+	slotsOut      int
+	fresh         []*call // calls begun in this turn
+	again, won    sum     // further trips and those that succeeded
+	calls, resets sum     // and those that broke
+	timerAt       Millis
+	watchAt       Millis
 }
 
 // random is a permuted congruential generator's next number, from 0 to below 1.
