--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -33,6 +33,7 @@
 		Slots          int       `json:"slots"`
 	} `json:"family_info"`
 	Limits struct {
+		Cancel        bool   `json:"cancel"`
 		MaxRetryAfter micros `json:"max_retry_after"`
 		OpenCap       int    `json:"open_cap"`
 		RetryAfter    bool   `json:"retry_after"`
@@ -72,6 +73,7 @@
 		Slots:       o.FamilyInfo.Slots,
 		HoldLimit:   o.Limits.OpenCap,
 		TripLimit:   o.Limits.SendCap,
+		CallOff:     o.Limits.Cancel,
 		Tick:        o.Tick.millis(),
 		OverShare:   o.OverShareWorth,
 		HalvesLate:  o.FamilyInfo.LosesWorth == "by_half",
--- a/rules/api.go
+++ b/rules/api.go
@@ -53,6 +53,7 @@
 	Slots       int // calls out at once
 	HoldLimit   int // notices held or out at once
 	TripLimit   int
+	CallOff     bool // trips may be called off
 	Tick        Millis
 	OverShare   float64 // what credit beyond a portfolio's share counts
 	HalvesLate  bool    // credit halves with each further quoted time; else it falls evenly
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 	bestDrift = 0.01 // how far each answer draws the best delay up to the mean
 
 	overdue    = 6.0  // a call out so many times the mean delay is overdue
+	hopeless   = 2.0  // a call out so many times as long as makes it overdue may be called off for its slot
 	creditPart = 0.25 // a receiver's credits, as a share of the slots
 	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
 	nearlyFull = 0.9  // of the hold limit: from here on the least promising make room
@@ -343,7 +344,7 @@
 	case e.Result == Full:
 		s.earn(c.receiver, 1)
 		s.refused(r, c, e.Wait)
-	case e.Result == Moot || e.Result == Cancelled || e.Result == TimedOut && c.curbed:
+	case e.Result == Moot || e.Result == Cancelled && !c.off || e.Result == TimedOut && c.curbed:
 		s.earn(c.receiver, 1)
 	default:
 		s.failure(r, c, e.Result)
@@ -539,6 +540,30 @@
 			}
 		}
 	}
+	if s.slotsOut >= s.settings.Slots && slices.ContainsFunc(ready, func(n *notice) bool { return n.out == nil }) {
+		s.freeSlot()
+	}
+}
+
+// freeSlot guards against calls that are swallowed one by one and hold every slot until they time out: when
+// slots run out, the call that is most overdue is called off.
+func (s *Sender) freeSlot() {
+	var worst *call
+	most := hopeless
+	for _, r := range s.routes {
+		for _, c := range r.out {
+			if age := float64((s.now - c.sentAt) / (c.overdueAt - c.sentAt)); age > most && !c.off {
+				worst, most = c, age
+			}
+		}
+	}
+	if worst == nil || !s.settings.CallOff {
+		return
+	}
+	worst.off = true
+	for _, n := range worst.riders {
+		s.do(CallOff{n.id, n.trips - 1})
+	}
 }
 
 // offer sends a notice to the best receiver that the gate lets it go to. To a sick route, reissuable notices
@@ -575,7 +600,7 @@
 // joins is the call begun in this turn that a further notice for a receiver would travel on.
 func (s *Sender) joins(rc *receiver) *call {
 	for _, c := range s.fresh {
-		if c.receiver == rc && c.riders < rc.route.destination.kind.PerCall {
+		if c.receiver == rc && len(c.riders) < rc.route.destination.kind.PerCall {
 			return c
 		}
 	}
@@ -717,7 +742,7 @@
 			s.do(LetGo{rc.id})
 		}
 	}
-	c.riders++
+	c.riders = append(c.riders, n)
 	c.waiting++
 	n.out = c
 	n.trips++
--- a/rules/state.go
+++ b/rules/state.go
@@ -33,10 +33,12 @@
 
 // call is one trip to a receiver, with all the notices that travel on it.
 type call struct {
-	receiver              *receiver
-	sentAt, overdueAt     Millis
-	riders, waiting       int  // notices aboard; those without an outcome yet
-	judged, trial, curbed bool // curbed: its time-out was cut short by the client timeout
+	receiver           *receiver
+	sentAt, overdueAt  Millis
+	riders             []*notice
+	waiting            int // riders without an outcome yet
+	judged, trial, off bool
+	curbed             bool // its time-out was cut short by the client timeout
 }
 
 type receiver struct {
