--- a/rules/rules.go
+++ b/rules/rules.go
@@ -540,7 +540,8 @@
 			}
 		}
 	}
-	if s.slotsOut >= s.settings.Slots && slices.ContainsFunc(ready, func(n *notice) bool { return n.out == nil }) {
+	waits := func(n *notice) bool { return n.out == nil }
+	if s.slotsOut >= s.settings.Slots && slices.ContainsFunc(ready, waits) {
 		s.freeSlot()
 	}
 }
