--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 	bestDrift = 0.01 // how far each answer draws the best delay up to the mean
 
 	overdue    = 6.0  // a call out so many times the mean delay is overdue
+	silent     = 3.0  // so many patiences owed by all calls together make a route silent
 	hopeless   = 2.0  // a call out so many times as long as makes it overdue may be called off for its slot
 	creditPart = 0.25 // a receiver's credits, as a share of the slots
 	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
@@ -132,7 +133,7 @@
 	}
 	if len(d.routes) == 0 || d.kind.Apart {
 		fresh := &route{destination: d, state: closed, window: max(float64(s.settings.Slots)/2, 1),
-			share: 1, badSince: never, returnedAt: -never}
+			share: 1, badSince: never, returnedAt: -never, trippedAt: -1}
 		d.routes = append(d.routes, fresh)
 		s.routes = append(s.routes, fresh)
 	}
@@ -381,7 +382,7 @@
 
 // sick tells whether a route fails, is silent or runs slow.
 func (s *Sender) sick(r *route) bool {
-	return r.state != closed || r.run > 0 || r.late > 0 || s.outage(r) || r.slow()
+	return r.state != closed || r.run > 0 || r.owed > 2.0/2 || s.outage(r) || r.slow()
 }
 
 // outage tells whether an outage is sure and goes on, as far as is known.
@@ -490,6 +491,7 @@
 func (s *Sender) trip(r *route, why string) {
 	r.reopenAt = s.now + resetTimeout
 	r.window = max(r.window/2, 1)
+	r.trippedAt = s.now
 	s.sign(r, true)
 	s.turn(r, open, why)
 }
@@ -502,21 +504,25 @@
 	s.do(Log{fmt.Sprintf("destination %d route %d %s: %s", r.destination.id, r.receivers[0].id, state, why)})
 }
 
-// stepBreakers lets reset times run out, and notices silence before calls time out: calls that are overdue
-// with no answer since they left count like failures in a row.
+// stepBreakers lets reset times run out, and notices silence before calls time out, from all that a route owes:
+// the spans for which its calls wait without any answer from it, added up, against its mean delay.
 func (s *Sender) stepBreakers() {
 	for _, r := range s.routes {
 		if r.state == open && s.now >= r.reopenAt {
 			s.turn(r, halfOpen, "reset time over")
 		}
-		r.late = 0
+		r.owed = 0
+		if r.state != closed || len(r.out) == 0 {
+			continue
+		}
+		quiet := Millis(0)
 		for _, c := range r.out {
-			if r.state == closed && c.overdueAt <= s.now && c.sentAt >= r.answeredAt {
-				r.late++
-			}
+			waits := s.now - max(c.sentAt, r.answeredAt)
+			r.owed += float64(waits / c.patience)
+			quiet = max(quiet, waits)
 		}
-		if r.late > 0 && r.late+r.run >= r.tolerance() {
-			s.trip(r, fmt.Sprintf("%d calls overdue", r.late))
+		if r.owed >= silent && len(r.out) > 1 && quiet >= s.settings.Fall/2 {
+			s.trip(r, fmt.Sprintf("%d calls owed for %.0f ms", len(r.out), quiet))
 		}
 	}
 }
@@ -553,7 +559,7 @@
 	most := hopeless
 	for _, r := range s.routes {
 		for _, c := range r.out {
-			if age := float64((s.now - c.sentAt) / (c.overdueAt - c.sentAt)); age > most && !c.off {
+			if age := float64((s.now - c.sentAt) / c.patience); age > most && !c.off {
 				worst, most = c, age
 			}
 		}
@@ -649,7 +655,7 @@
 	if s.slotsOut >= s.settings.Slots || r.state == open {
 		return false
 	}
-	calls, sick, trials := 0, false, r.proved
+	calls, sick, live, trials := 0, false, 0, r.proved
 	for _, o := range r.destination.routes {
 		calls += len(o.out)
 		sick = sick || s.sick(o)
@@ -658,6 +664,9 @@
 		if c.trial {
 			trials++
 		}
+		if c.sentAt > r.trippedAt {
+			live++ // what was out when the breaker opened may be lost, and holds no place in the window
+		}
 	}
 	if r.state == halfOpen && trials >= halfOpenMaxCalls {
 		return false
@@ -667,7 +676,7 @@
 		share = 0.5
 	}
 	most := max(math.Floor(share*float64(s.settings.Slots)), 1)
-	return float64(calls) < most && float64(len(r.out)) < max(math.Floor(min(r.window, most)), 1)
+	return float64(calls) < most && float64(live) < max(math.Floor(min(r.window, most)), 1)
 }
 
 // repeatSafe keeps an effect from happening twice.
@@ -730,7 +739,7 @@
 		if r.mean == 0 {
 			wait = n.grade.QuotedTime
 		}
-		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen, overdueAt: s.now + wait,
+		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen, patience: wait,
 			curbed: s.lastCall(n)-s.now < n.grade.QuotedTime}
 		r.out = append(r.out, c)
 		s.fresh = append(s.fresh, c)
@@ -774,12 +783,8 @@
 			next = min(next, at)
 		}
 	}
-	for _, r := range s.routes {
-		for _, c := range r.out {
-			if c.overdueAt > s.now && r.state == closed {
-				next = min(next, c.overdueAt)
-			}
-		}
+	if s.slotsOut > 0 {
+		next = min(next, s.now+s.settings.Fall/8)
 	}
 	if s.timerAt <= s.now {
 		s.timerAt = never
--- a/rules/state.go
+++ b/rules/state.go
@@ -34,7 +34,7 @@
 // call is one trip to a receiver, with all the notices that travel on it.
 type call struct {
 	receiver           *receiver
-	sentAt, overdueAt  Millis
+	sentAt, patience   Millis // patience: when out for so long, it is overdue
 	riders             []*notice
 	waiting            int // riders without an outcome yet
 	judged, trial, off bool
@@ -61,7 +61,9 @@
 	state                   breakerState
 	outcomes                []outcome
 	reopenAt                Millis
-	proved, run, late       int // trials succeeded; failures since the last success; calls overdue
+	proved, run             int     // trials succeeded; failures since the last success
+	owed                    float64 // how overdue its calls are together; 1: silent
+	trippedAt               Millis
 	delays, answers         sum
 	mean, best, answeredAt  Millis
 	window                  float64
