--- a/rules/rules.go
+++ b/rules/rules.go
@@ -504,7 +504,7 @@
 	s.do(Log{fmt.Sprintf("destination %d route %d %s: %s", r.destination.id, r.receivers[0].id, state, why)})
 }
 
-// stepBreakers lets reset times run out, and notices silence before calls time out, from all that a route owes:
+// stepBreakers lets reset times run out, and notices silence before calls time out, by all that a route owes:
 // the spans for which its calls wait without any answer from it, added up, against its mean delay.
 func (s *Sender) stepBreakers() {
 	for _, r := range s.routes {
