Return at one and a half times this sender's even part of the budget

Cause: what a route can take while cold is reckoned at its least (the told limit for its capacity, the settings' share of it at the start, the latest time for being warm), and split evenly although senders' traffic is not even. Harm: many senders with even traffic, all with a backlog, at a destination whose capacity is just its limit.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -30,7 +30,7 @@
 	creditPart = 0.25 // a receiver's credits, as a share of the slots
 	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
 	nearlyFull = 0.9  // of the hold limit: from here on the least promising make room
-	ownPart    = 0.66 // of the return budget: rule 4 counts from two thirds on
+	ownPart    = 1.5  // of the return budget: see docs/design.md on why it may be over one
 	sureAfter  = 2.0  // an outage is sure after so many falls without a success
 	burstPart  = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding   = 0.7  // what is left of this sender's share of a limit after a refusal
