--- /dev/null
+++ b/internal/benchwire/benchwire_test.go
@@ -0,0 +1,168 @@
+package benchwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chuteweir.example/chuteweir/rules"
+)
+
+// frame builds a batch of records, each a code and its fields in hex.
+func frame(number uint32, records ...string) []byte {
+	var body []byte
+	for _, r := range records {
+		code, fields, _ := strings.Cut(r, " ")
+		b, err := hex.DecodeString(strings.ReplaceAll(fields, " ", ""))
+		if err != nil {
+			panic(err)
+		}
+		var n uint16
+		fmt.Sscan(code, &n)
+		body = binary.LittleEndian.AppendUint16(body, n)
+		body = binary.LittleEndian.AppendUint32(body, uint32(len(b)))
+		body = append(body, b...)
+	}
+	head := make([]byte, headerSize)
+	binary.LittleEndian.PutUint32(head[0:], number)
+	binary.LittleEndian.PutUint32(head[4:], uint32(len(body)))
+	binary.LittleEndian.PutUint64(head[8:], 8_412_250)
+	binary.LittleEndian.PutUint32(head[16:], uint32(len(records)))
+	return append(head, body...)
+}
+
+const (
+	oneEntry   = "1080 05 01000000 0a000000 01 0200 0300 01 00002041 0000000000000000"
+	otherEntry = "1080 05 01000000 0b000000 00 0200 0300 02 00002041 0000000000000000"
+	told       = "1000 0100 04 29000000 05"
+	verdict    = "1050 0100 07000000 2c010000 a0860100 0b 00 01 0a000000 02 0000003f 0000a040"
+	submit     = "1070 0100 07000000 0200 01000000 0900000000000000 40420f00 00000000 00004040 10"
+)
+
+func TestRead(t *testing.T) {
+	entry := rules.Entry{Receiver: 10, Destination: 3, Kind: 2, Zone: 1, Standing: rules.Ready, ListedRate: 10}
+	other := rules.Entry{Receiver: 11, Destination: 3, Kind: 2, Standing: rules.Draining, ListedRate: 10}
+	in := frame(12, oneEntry, told, otherEntry, told, "4711 ffff", "1030 0100 00000000000000000000000000",
+		submit, verdict, "1060 0100 4d00000000000000", "1040 0100 07000000", "1000 0100 00 00000000 00", "1090 0100")
+	reader := NewReader(bytes.NewReader(in))
+	got, err := reader.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := func(what any) Record { return Record{1, what} }
+	want := Batch{Number: 12, Now: 8412.25, Records: []Record{
+		record(rules.ListTold{Whole: true, Entries: []rules.Entry{entry}}),
+		record(rules.ListTold{Whole: true, Entries: []rules.Entry{other}}),
+		record(rules.NoticeTaken{Notice: 7, Grade: 2, Portfolio: 1, Key: 9, Destination: 3, Left: 1000, Inherited: true}),
+		record(rules.TripEnded{Notice: 7, Receiver: 10, Result: rules.Full, Spent: 100, Wait: 300,
+			LimitTold: true, LimitLeft: 0.5, LimitRate: 5}),
+		record(rules.TimerDue{Timer: 77}),
+		record(rules.NoticeWithdrawn{Notice: 7}),
+		record(rules.ListFailed{}),
+		record(Destroyed{}),
+	}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+	if _, err := reader.Next(); err != io.EOF {
+		t.Errorf("after the last batch: %v", err)
+	}
+}
+
+func TestReadSettings(t *testing.T) {
+	got, err := readSettings([]byte(`{"classes": [{"aim": 2000000, "deadline": 16000000, "worth": 3, "late_worth": 0.3,
+		"repeat": "guarded", "key_scope": "zone", "key_ttl": 5000000, "sequential": true, "unheard_of": [1]}],
+		"kinds": ["a", "b"], "discovery": "subscribe", "group_size": 2, "goal": {"whole": 0.45, "worst_class": 0.2},
+		"family_info": {"fee_by_zone": [0, 0.03], "loses_worth": "by_half", "per_call": [5], "separate_routes": [true],
+		"slots": 11}, "limits": {"cancel": true, "max_retry_after": 3000000, "open_cap": 241, "retry_after": true,
+		"send_cap": 12}, "obligations": {"cold_from": 0.16, "fall": 2000000, "key_rest": 300000, "must_ask_in": 10000000,
+		"tip_multiple": 2, "warm_within": 10000000}, "over_share_worth": 0.2, "realms": [{"quota_per_s": 19}],
+		"tick": 5000, "weight_source": "rough"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := rules.Settings{
+		Grades: []rules.Grade{{QuotedTime: 2000, ClientTimeout: 16_000, Credit: 3, LateShare: 0.3, Repeat: rules.Numbered,
+			ZoneOnly: true, RemembersFor: 5000, InOrder: true}},
+		Kinds: []rules.Kind{{PerCall: 5, Apart: true}, {PerCall: 1}}, Quotas: []float64{19}, ZoneFees: []float64{0, 0.03},
+		Senders: 2, Slots: 11, HoldLimit: 241, TripLimit: 12, CallOff: true, Tick: 5, OverShare: 0.2, WholeGoal: 0.45,
+		WorstGoal: 0.2, HalvesLate: true, RetryAfter: true, RetryMost: 3000, ListOnAsk: true, AskWithin: 10_000,
+		ListedError: 0.5, ColdFrom: 0.16, WarmWithin: 10_000, TipMultiple: 2, Fall: 2000, KeyRest: 300,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	whole := frame(3, oneEntry, told, submit)
+	for name, in := range map[string][]byte{
+		"header cut short":      whole[:7],
+		"body cut short":        whole[:len(whole)-1],
+		"record cut short":      frame(3, "1070 0100 07000000"),
+		"list of another size":  frame(3, "1080 05 ffffffff 0a000000"),
+		"list never sent":       frame(3, told),
+		"unknown status":        frame(3, "1050 0100 07000000 00000000 00000000 63 00 00 0a000000 00"),
+		"unknown readiness":     frame(3, strings.Replace(oneEntry, "01 00002041", "07 00002041", 1)),
+		"settings are no JSON":  frame(3, "1010 0100 0000000000000000 02000000 7b22"),
+		"settings cut short":    frame(3, "1010 0100 0000000000000000 09000000 7b22"),
+		"more than was counted": append(frame(3), 0),
+	} {
+		if name == "more than was counted" {
+			binary.LittleEndian.PutUint32(in[4:], 1)
+		}
+		_, err := NewReader(bytes.NewReader(in)).Next()
+		if err == nil || err == io.EOF {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestWrite(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	err := w.Add(3, []rules.Action{
+		rules.LetGo{Receiver: 0x2c9011f2}, rules.Send{Notice: 0x5d3a91c4, Receiver: 0x03124a07, TimeOut: 80},
+		rules.Dismiss{Notice: 7, RetryAfter: 250}, rules.BreakOff{Notice: 7}, rules.CallOff{Notice: 7, Trip: 2},
+		rules.SetTimer{After: 500, Timer: 77}, rules.WatchList{}, rules.Log{Text: "hi"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Flush(12); err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Join([]string{
+		"0c000000 08000000 72000000",
+		"2404 06000000 0300 f211902c",
+		"e803 0e000000 0300 c4913a5d 80380100 074a1203",
+		"f203 0a000000 0300 07000000 90d00300",
+		"fc03 06000000 0300 07000000",
+		"0604 07000000 0300 07000000 02",
+		"1004 0e000000 0300 20a10700 4d00000000000000",
+		"4c04 03000000 0300 01",
+		"3804 06000000 0300 0200 6869",
+	}, "")
+	if diff := cmp.Diff(strings.ReplaceAll(want, " ", ""), hex.EncodeToString(out.Bytes())); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(frame(3, oneEntry, told, submit, verdict))
+	f.Add(frame(4, "1010 0100 0000000000000000 02000000 7b7d", "1090 0100"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := NewReader(bytes.NewReader(in))
+		for {
+			if _, err := r.Next(); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/benchwire/settings.go
+++ b/internal/benchwire/settings.go
@@ -22,9 +22,13 @@
 		KeyTTL     micros  `json:"key_ttl"`
 		Sequential bool    `json:"sequential"`
 	} `json:"classes"`
-	Kinds      []string `json:"kinds"`
-	Discovery  string   `json:"discovery"`
-	GroupSize  int      `json:"group_size"`
+	Kinds     []string `json:"kinds"`
+	Discovery string   `json:"discovery"`
+	GroupSize int      `json:"group_size"`
+	Goal      struct {
+		Whole      float64 `json:"whole"`
+		WorstClass float64 `json:"worst_class"`
+	} `json:"goal"`
 	FamilyInfo struct {
 		FeeByZone      []float64 `json:"fee_by_zone"`
 		LosesWorth     string    `json:"loses_worth"`
@@ -76,6 +80,8 @@
 		CallOff:     o.Limits.Cancel,
 		Tick:        o.Tick.millis(),
 		OverShare:   o.OverShareWorth,
+		WholeGoal:   o.Goal.Whole,
+		WorstGoal:   o.Goal.WorstClass,
 		HalvesLate:  o.FamilyInfo.LosesWorth == "by_half",
 		RetryAfter:  o.Limits.RetryAfter,
 		RetryMost:   o.Limits.MaxRetryAfter.millis(),
--- a/rules/api.go
+++ b/rules/api.go
@@ -56,6 +56,8 @@
 	CallOff     bool // trips may be called off
 	Tick        Millis
 	OverShare   float64 // what credit beyond a portfolio's share counts
+	WholeGoal   float64 // how much all credit weighs in what the deployment aims for
+	WorstGoal   float64 // and that of the grade served worst
 	HalvesLate  bool    // credit halves with each further quoted time; else it falls evenly
 	RetryAfter  bool    // a dismissal may tell when to come back
 	RetryMost   Millis
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,18 +24,19 @@
 	narrowing = 0.9  // what is left of the window after a slow answer
 	bestDrift = 0.01 // how far each answer draws the best delay up to the mean
 
-	overdue    = 6.0  // a call out so many times the mean delay is overdue
-	silent     = 3.0  // so many patiences owed by all calls together make a route silent
-	hopeless   = 2.0  // a call out so many times as long as makes it overdue may be called off for its slot
-	creditPart = 0.25 // a receiver's credits, as a share of the slots
-	foresight  = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
-	nearlyFull = 0.9  // of the hold limit: from here on the least promising make room
-	ownPart    = 1.5  // of the return budget: see docs/design.md on why it may be over one
-	sureAfter  = 2.0  // an outage is sure after so many falls without a success
-	burstPart  = 0.25 // of a fall: what was not sent under a limit for so long may be made up
-	yielding   = 0.7  // what is left of this sender's share of a limit after a refusal
-	leastShare = 1.0 / 16
-	breaking   = 0.02 // of the calls reset: from here on, idle connections are not trusted
+	overdue     = 6.0  // a call out so many times the mean delay is overdue
+	silent      = 3.0  // so many patiences owed by all calls together make a route silent
+	hopeless    = 2.0  // a call out so many times as long as makes it overdue may be called off for its slot
+	creditPart  = 0.15 // a receiver's credits, as a share of the slots
+	foresight   = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
+	nearlyFull  = 0.9  // of the hold limit: from here on the least promising make room
+	ownPart     = 1.5  // of the return budget: see docs/design.md on why it may be over one
+	closeServed = 0.2  // how near a grade's served share must be to the worst to count with it
+	sureAfter   = 2.0  // an outage is sure after so many falls without a success
+	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
+	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
+	leastShare  = 1.0 / 16
+	breaking    = 0.02 // of the calls reset: from here on, idle connections are not trusted
 
 	never = Millis(math.MaxFloat64)
 )
@@ -54,6 +55,9 @@
 		timerAt:      never,
 		watchAt:      never,
 	}
+	for _, g := range settings.Grades {
+		s.grades = append(s.grades, &grade{Grade: g})
+	}
 	if settings.ListOnAsk {
 		s.watchAt = 0
 	}
@@ -64,38 +68,36 @@
 func (s *Sender) Decide(now Millis, events []Event) []Action {
 	s.now, s.actions, s.fresh = now, nil, nil
 	for _, e := range events {
-		s.heed(e)
+		switch e := e.(type) {
+		case NoticeTaken:
+			s.take(e)
+		case TripEnded:
+			s.tripEnded(e)
+		case NoticeWithdrawn:
+			if n := s.notices[e.Notice]; n != nil {
+				s.forget(n)
+			}
+		case ListTold:
+			s.listTold(e)
+		case ListFailed:
+			if s.settings.ListOnAsk {
+				s.watchAt = s.now + s.settings.AskWithin/16*Millis(1+s.random())
+			}
+		}
 	}
 	if s.now >= s.watchAt {
 		s.watchAt = never
 		s.do(WatchList{})
 	}
 	s.stepBreakers()
-	s.serve()
+	s.weighGrades()
 	s.giveUp()
+	s.serve()
+	s.makeRoom()
 	s.setTimer()
 	return s.actions
 }
 
-func (s *Sender) heed(e Event) {
-	switch e := e.(type) {
-	case NoticeTaken:
-		s.take(e)
-	case TripEnded:
-		s.tripEnded(e)
-	case NoticeWithdrawn:
-		if n := s.notices[e.Notice]; n != nil {
-			s.forget(n)
-		}
-	case ListTold:
-		s.listTold(e)
-	case ListFailed:
-		if s.settings.ListOnAsk {
-			s.watchAt = s.now + s.settings.AskWithin/16*Millis(1+s.random())
-		}
-	}
-}
-
 func (s *Sender) do(a Action) { s.actions = append(s.actions, a) }
 
 func (s *Sender) listTold(e ListTold) {
@@ -110,9 +112,7 @@
 			if entry.Standing == Gone {
 				continue
 			}
-			r = &receiver{id: entry.Receiver, zone: entry.Zone, credits: s.credits, creditAt: s.now}
-			s.receivers[entry.Receiver] = r
-			s.place(r, entry)
+			r = s.place(entry, max(float64(s.settings.Slots)/2, 1))
 		}
 		r.standing = entry.Standing
 		if s.settings.ListedError >= 0 {
@@ -121,46 +121,23 @@
 	}
 }
 
-// place finds the route of a new receiver.
-func (s *Sender) place(r *receiver, entry Entry) {
-	d := s.destinations[entry.Destination]
-	if d == nil {
-		d = &destination{id: entry.Destination, kind: Kind{PerCall: 1}}
-		if int(entry.Kind) < len(s.settings.Kinds) {
-			d.kind = s.settings.Kinds[entry.Kind]
-		}
-		s.destinations[entry.Destination] = d
-	}
-	if len(d.routes) == 0 || d.kind.Apart {
-		fresh := &route{destination: d, state: closed, window: max(float64(s.settings.Slots)/2, 1),
-			share: 1, badSince: never, returnedAt: -never, trippedAt: -1}
-		d.routes = append(d.routes, fresh)
-		s.routes = append(s.routes, fresh)
-	}
-	if d.kind.Apart && int(entry.Zone) < len(s.settings.ZoneFees) {
-		r.fee = s.settings.ZoneFees[entry.Zone]
-	}
-	r.route = d.routes[len(d.routes)-1]
-	r.route.receivers = append(r.route.receivers, r)
-}
-
 // Notices.
 
 func (s *Sender) take(e NoticeTaken) {
-	grade := Grade{ClientTimeout: e.Left, QuotedTime: e.Left}
-	if int(e.Grade) < len(s.settings.Grades) {
-		grade = s.settings.Grades[e.Grade]
-	}
-	n := &notice{id: e.Notice, grade: grade, destination: e.Destination, until: s.now + e.Left}
-	handedIn := n.until - grade.ClientTimeout
-	n.quotedAt = handedIn + grade.QuotedTime
-	n.credit = grade.Credit * s.shareWorth(e.Portfolio)
-	if e.Inherited && grade.Repeat == Numbered {
+	g := &grade{Grade: Grade{ClientTimeout: e.Left, QuotedTime: e.Left}}
+	if int(e.Grade) < len(s.grades) {
+		g = s.grades[e.Grade]
+	}
+	n := &notice{id: e.Notice, grade: g, destination: e.Destination, until: s.now + e.Left}
+	handedIn := n.until - g.ClientTimeout
+	n.quotedAt = handedIn + g.QuotedTime
+	n.credit = g.Credit * s.shareWorth(e.Portfolio)
+	if e.Inherited && g.Repeat == Numbered {
 		// It may have run, at a receiver that is not told and from its hand-in on. At-most-once notices
 		// that may have run are never handed on.
 		n.mayHaveRun, n.zoneUnknown, n.ranAt = true, true, handedIn
 	}
-	if e.Key != 0 && grade.InOrder {
+	if e.Key != 0 && g.InOrder {
 		n.key = e.Key
 		if s.keys[n.key] == nil {
 			s.keys[n.key] = &keyLine{}
@@ -198,9 +175,24 @@
 	}
 }
 
+// weighGrades gives each grade its weight in what the deployment aims for: the credit of the whole, and of
+// the grade served worst. It guards against giving up the grade with the least credit for all others.
+func (s *Sender) weighGrades() {
+	total, worst := 0.0, 0.0
+	for _, g := range s.grades {
+		asked := 1 + g.asked.read(s.now, statisticsWindow)
+		g.weight = math.Exp(-(1 + g.earned.read(s.now, statisticsWindow)) / asked / closeServed)
+		total, worst = total+asked, worst+g.weight
+	}
+	for _, g := range s.grades {
+		g.weight = s.settings.WholeGoal + s.settings.WorstGoal*g.weight/worst*total/(1+g.asked.value)
+	}
+}
+
 // end is the one place that gives a final answer. A dismissal tells that a repeat is harmless, so what may
 // have run is broken off.
 func (s *Sender) end(n *notice, back Millis) {
+	n.grade.asked.add(s.now, statisticsWindow, n.credit)
 	if n.mayHaveRun || n.out != nil {
 		s.do(BreakOff{n.id})
 	} else {
@@ -213,21 +205,6 @@
 	s.forget(n)
 }
 
-// forget lets go of a notice that is over; while its trip is out, it keeps its place in the key's line.
-func (s *Sender) forget(n *notice) {
-	n.over = true
-	if n.out != nil {
-		return
-	}
-	delete(s.notices, n.id)
-	if k := s.keys[n.key]; k != nil {
-		k.line = slices.DeleteFunc(k.line, func(o *notice) bool { return o == n })
-		if len(k.line) == 0 && k.restUntil <= s.now {
-			delete(s.keys, n.key)
-		}
-	}
-}
-
 // lastCall is when a notice has its final answer at the latest; a timer may land a tick late.
 func (s *Sender) lastCall(n *notice) Millis { return n.until - 3*s.settings.Tick }
 
@@ -243,7 +220,6 @@
 			s.end(n, opens)
 		}
 	}
-	s.makeRoom()
 	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
 }
 
@@ -273,8 +249,8 @@
 	}
 	var stuck []*notice
 	for _, n := range s.held {
-		if n.out == nil && !n.over && !n.mayHaveRun {
-			n.urgency = s.worth(n, s.opensAt(n))
+		if n.out == nil && !n.mayHaveRun {
+			n.urgency = n.grade.weight * s.worth(n, s.opensAt(n))
 			stuck = append(stuck, n)
 		}
 	}
@@ -282,6 +258,7 @@
 	for _, n := range stuck[:min(-spare, len(stuck))] {
 		s.end(n, s.opensAt(n))
 	}
+	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
 }
 
 // Outcomes.
@@ -304,6 +281,10 @@
 			s.won.add(s.now, statisticsWindow, 1)
 		}
 	}
+	if e.Result == Handled && !n.over {
+		n.grade.asked.add(s.now, statisticsWindow, n.credit)
+		n.grade.earned.add(s.now, statisticsWindow, s.worth(n, s.now))
+	}
 	if e.Over || n.over || e.Result == Handled {
 		s.forget(n)
 		return
@@ -311,6 +292,9 @@
 	if mayRun && !n.mayHaveRun {
 		n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
 	}
+	if mayRun {
+		n.ran++
+	}
 	// How often a further trip is made follows how many of the recent ones succeeded.
 	if e.Result != Full && e.Result != Moot {
 		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.again.read(s.now, statisticsWindow) + 1)
@@ -461,13 +445,7 @@
 // does where the window never fills.
 func (s *Sender) record(r *route, failed bool) {
 	r.outcomes = append(r.outcomes, outcome{s.now, failed})
-	r.outcomes = slices.DeleteFunc(r.outcomes, func(o outcome) bool { return o.at < s.now-statisticsWindow })
-	calls, failures := len(r.outcomes), 0
-	for _, o := range r.outcomes {
-		if o.failed {
-			failures++
-		}
-	}
+	calls, failures := r.tally(s.now - statisticsWindow)
 	if r.state != closed || !failed {
 		return
 	}
@@ -533,8 +511,8 @@
 func (s *Sender) serve() {
 	var ready []*notice
 	for _, n := range s.held {
-		if !n.over && n.out == nil && s.now < s.lastCall(n) {
-			n.urgency = s.worth(n, s.now) - foresight*s.worth(n, s.now+n.grade.QuotedTime)
+		if n.out == nil {
+			n.urgency = n.grade.weight * (s.worth(n, s.now) - foresight*s.worth(n, s.now+n.grade.QuotedTime))
 			ready = append(ready, n)
 		}
 	}
@@ -559,7 +537,10 @@
 	most := hopeless
 	for _, r := range s.routes {
 		for _, c := range r.out {
-			if age := float64((s.now - c.sentAt) / c.patience); age > most && !c.off {
+			if c.off {
+				return // its slot is about to be free
+			}
+			if age := float64((s.now - c.sentAt) / c.patience); age > most {
 				worst, most = c, age
 			}
 		}
@@ -759,10 +740,10 @@
 	s.do(Send{n.id, rc.id, s.timeOut(n, r)})
 }
 
-// timeOut is how long a trip may take: longer where calls are slow, and with each trip, as the notice may be
-// what is slow. What must not run twice is lost with a time-out, so it waits longer.
+// timeOut is how long a trip may take: longer where calls are slow, and with each trip that ran, as the
+// notice may be slow itself. What must not run twice is lost with a time-out, so it waits longer.
 func (s *Sender) timeOut(n *notice, r *route) Millis {
-	patience := max(n.grade.QuotedTime, overdue*r.mean) * Millis(n.trips)
+	patience := max(n.grade.QuotedTime, overdue*r.mean) * Millis(1+n.ran)
 	if n.grade.Repeat == AtMostOnce {
 		patience *= 3
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -22,13 +22,266 @@
 	t.check(tt)
 }
 
+func TestBreakerLittleTraffic(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("three failures in a row open it where the window is not filled; what may have run is broken off")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 2, Left: 4000})
+	t.answer(Errored)
+	t.take(2, NoticeTaken{Destination: 1})
+	t.answer(NotConnected)
+	t.answer(NotConnected)
+	t.check(tt)
+}
+
+func TestSilence(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	for range 3 {
+		t.take(1, NoticeTaken{Destination: 1})
+		t.answer(Handled)
+	}
+	t.note("calls that owe too much together open the breaker before any times out")
+	t.take(4, NoticeTaken{Destination: 1})
+	t.pass(1600)
+	t.check(tt)
+}
+
+func TestDelayWindow(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1), entry(11, 1), entry(12, 1), entry(13, 1))
+	t.quiet = true
+	t.note("eight slots: half at first, never over three quarters")
+	for range 4 {
+		t.take(8, NoticeTaken{Destination: 1})
+		t.say("%d out", len(t.trips))
+		for len(t.trips) > 0 {
+			t.answer(Handled)
+		}
+	}
+	t.note("while it runs slow, half at most and fewer with each answer")
+	slow := func(e *TripEnded) { e.Spent = 3000 }
+	for range 4 {
+		t.take(8, NoticeTaken{Destination: 1})
+		t.say("%d out", len(t.trips))
+		for range 4 {
+			t.answer(Handled, slow)
+		}
+	}
+	t.check(tt)
+}
+
+func TestCredits(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1), entry(11, 1))
+	t.note("a receiver whose calls fail has no credit left, and the other one gets what comes")
+	t.take(2, NoticeTaken{Destination: 1})
+	for range 6 {
+		t.answer(map[ReceiverID]Result{10: NotConnected, 11: Handled}[t.trips[0].Receiver])
+		t.take(1, NoticeTaken{Destination: 1})
+	}
+	t.check(tt)
+}
+
+func TestFinalAnswer(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("rule 1: held, refused or out, each notice ends once and before its client timeout")
+	t.take(1, NoticeTaken{Destination: 9, Left: 500})
+	t.take(1, NoticeTaken{Destination: 1, Left: 500})
+	t.pass(490)
+	t.answer(TimedOut)
+	t.take(1, NoticeTaken{Destination: 1, Left: 1})
+	t.pass(1000)
+	t.check(tt)
+}
+
+func TestRepeats(tt *testing.T) {
+	far := entry(11, 1)
+	far.Zone = 1
+	t := start(madeUp(), entry(10, 1), far)
+	t.note("rule 2: an at-most-once notice goes again after a refusal, and never after an error")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 2})
+	t.answer(Full)
+	t.answer(Errored)
+	t.note("a numbered one goes again in the zone where it may have run, while its mark is remembered")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 1})
+	t.answer(Reset)
+	t.pass(5300)
+	t.answer(Reset)
+	t.pass(1000)
+	t.note("one that a dead sender held may have run in either zone")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 1, Inherited: true})
+	t.note("a reissuable one may go anywhere")
+	t.pass(5000)
+	t.take(1, NoticeTaken{Destination: 1, Inherited: true})
+	t.check(tt)
+}
+
+func TestDrain(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1), entry(11, 1))
+	t.note("rule 3: nothing to a receiver that drains, nor to one missing from a whole list")
+	drains := entry(10, 1)
+	drains.Standing = Draining
+	t.turn(ListTold{Entries: []Entry{drains}})
+	t.take(2, NoticeTaken{Destination: 1})
+	t.turn(ListTold{Whole: true, Entries: []Entry{entry(12, 1)}})
+	t.take(3, NoticeTaken{Destination: 1})
+	t.check(tt)
+}
+
+func TestReturn(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("rule 4: after a long told wait, sends are spaced by what a cold destination takes")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Full, wait(6000))
+	t.take(30, NoticeTaken{Destination: 1})
+	t.pass(5900)
+	for range 6 {
+		t.answer(Handled)
+	}
+	t.check(tt)
+}
+
+func TestLateAnswerIsNoReturn(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("an answer to a call from before the last sign of an outage does not end it")
+	t.take(3, NoticeTaken{Destination: 1})
+	t.answer(Full, wait(20_000))
+	t.answer(Handled)
+	t.pass(19_900)
+	t.take(4, NoticeTaken{Destination: 1})
+	t.pass(600)
+	t.check(tt)
+}
+
+func TestOrder(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("rule 5: notices of one key go in turn, and after a time-out the key rests")
+	t.take(3, NoticeTaken{Destination: 1, Grade: 1, Key: 7})
+	t.take(1, NoticeTaken{Destination: 1, Grade: 1, Key: 8})
+	t.answer(Handled)
+	t.answer(Handled)
+	t.answer(TimedOut)
+	t.answer(Handled)
+	t.answer(Handled)
+	t.check(tt)
+}
+
 func TestWait(tt *testing.T) {
 	t := start(madeUp(), entry(10, 1), entry(11, 1), entry(20, 2))
 	t.take(1, NoticeTaken{Destination: 1})
-	t.note("a wait holds for every receiver of the destination and for no other destination")
+	t.note("rule 6: a wait holds for every receiver of the destination and for no other destination")
 	t.answer(Full, wait(700))
 	t.take(1, NoticeTaken{Destination: 1})
 	t.take(1, NoticeTaken{Destination: 2})
 	t.pass(1000)
 	t.check(tt)
 }
+
+func TestRoutesApart(tt *testing.T) {
+	near, far := entry(30, 3), entry(31, 3)
+	near.Kind, far.Kind, far.Zone = 1, 1, 1
+	t := start(madeUp(), near, far)
+	t.note("notices share a call, three at most, and a slot; the route without a fee goes first")
+	t.take(7, NoticeTaken{Destination: 3})
+	t.note("each is told a wait of its own, and the longest binds that route alone")
+	t.answer(Full, wait(200))
+	t.answer(Full, wait(900))
+	t.answer(Full)
+	t.pass(1000)
+	t.check(tt)
+}
+
+func TestIdleConnections(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("once calls were reset, idle connections are closed before the next call")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Reset)
+	t.answer(Reset)
+	t.answer(Handled)
+	t.take(1, NoticeTaken{Destination: 1})
+	t.check(tt)
+}
+
+func TestSwallowedCalls(tt *testing.T) {
+	settings := madeUp()
+	settings.Slots, settings.CallOff = 2, true
+	t := start(settings, entry(10, 1), entry(20, 2), entry(30, 4))
+	t.note("every slot is held by a call without an answer; the most overdue one makes room")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 2})
+	t.take(1, NoticeTaken{Destination: 2, Grade: 2})
+	t.pass(3900)
+	t.take(1, NoticeTaken{Destination: 4})
+	t.pass(200)
+	t.answer(Cancelled)
+	t.check(tt)
+}
+
+func TestRoom(tt *testing.T) {
+	settings := madeUp()
+	settings.HoldLimit, settings.WholeGoal = 10, 1
+	t := start(settings, entry(10, 1))
+	t.note("a hold nearly full of notices for a shut destination gives back those that promise least")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Full, wait(8000))
+	t.take(6, NoticeTaken{Destination: 1, Grade: 2})
+	t.take(4, NoticeTaken{Destination: 1})
+	t.check(tt)
+}
+
+func TestWatch(tt *testing.T) {
+	settings := madeUp()
+	settings.ListOnAsk, settings.AskWithin = true, 8000
+	t := start(settings)
+	t.note("a watch that failed is asked for again")
+	t.turn(ListFailed{})
+	t.pass(1100)
+	t.check(tt)
+}
+
+func TestReissuableFirst(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("after a failure a reissuable notice goes before an at-most-once one that is more urgent")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(NotConnected)
+	t.answer(Errored)
+	t.turn(NoticeTaken{Notice: 20, Grade: 2, Destination: 1, Left: 18_500},
+		NoticeTaken{Notice: 21, Destination: 1, Left: 20_000})
+	t.pass(5000)
+	t.check(tt)
+}
+
+func TestShareOfLimit(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1), entry(11, 1))
+	t.note("under a told limit of five a second sends are spaced, and more so after a refusal")
+	told := func(e *TripEnded) { e.LimitTold, e.LimitRate = true, 5 }
+	t.take(10, NoticeTaken{Destination: 1})
+	for _, result := range []Result{Handled, Handled, Handled, Handled, Handled, Full, Handled, Handled} {
+		t.answer(result, told)
+	}
+	t.check(tt)
+}
+
+func TestCurbedTimeOut(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("time-outs cut short by the client timeout tell nothing of the destination")
+	for range 4 {
+		t.take(1, NoticeTaken{Destination: 1, Left: 300})
+		t.pass(280)
+		t.answer(TimedOut)
+	}
+	t.check(tt)
+}
+
+func TestWorstGrade(tt *testing.T) {
+	settings := madeUp()
+	settings.HoldLimit, settings.WholeGoal, settings.WorstGoal = 10, 0.1, 0.9
+	t := start(settings, entry(10, 1))
+	t.note("a grade served worst is not given up for room, though it has the least credit")
+	for range 8 {
+		t.take(1, NoticeTaken{Destination: 1, Grade: 2})
+		t.answer(Handled)
+		t.take(1, NoticeTaken{Destination: 5, Left: 1})
+	}
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Full, wait(8000))
+	t.take(6, NoticeTaken{Destination: 1, Grade: 2})
+	t.take(4, NoticeTaken{Destination: 1})
+	t.check(tt)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,6 +1,9 @@
 package rules
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // What a sender remembers, and the two tools that it keeps it with. Nothing is decided here.
 
@@ -89,14 +92,21 @@
 	restUntil Millis
 }
 
+// grade is a service grade with the credit that its notices asked for and earned, and its weight.
+type grade struct {
+	Grade
+	asked, earned sum
+	weight        float64
+}
+
 type notice struct {
 	id                         NoticeID
-	grade                      Grade
+	grade                      *grade
 	destination                DestinationID
 	key                        KeyID
 	credit, urgency            float64
 	quotedAt, until, restUntil Millis
-	trips                      int
+	trips, ran                 int // and those that may have run
 	out                        *call
 	mayHaveRun, zoneUnknown    bool
 	ranAt                      Millis // the first trip that may have run
@@ -117,6 +127,7 @@
 	receivers     map[ReceiverID]*receiver
 	keys          map[KeyID]*keyLine
 	portfolios    []sum
+	grades        []*grade
 	credits       float64 // of a receiver, at most
 	slotsOut      int
 	fresh         []*call // calls begun in this turn
@@ -134,3 +145,55 @@
 	r := uint32(old >> 59)
 	return float64(x>>r|x<<(-r&31)) / (1 << 32)
 }
+
+// place makes room for a new receiver: a route of its own, or a place on its destination's.
+func (s *Sender) place(entry Entry, window float64) *receiver {
+	d := s.destinations[entry.Destination]
+	if d == nil {
+		d = &destination{id: entry.Destination, kind: Kind{PerCall: 1}}
+		if int(entry.Kind) < len(s.settings.Kinds) {
+			d.kind = s.settings.Kinds[entry.Kind]
+		}
+		s.destinations[entry.Destination] = d
+	}
+	if len(d.routes) == 0 || d.kind.Apart {
+		fresh := &route{destination: d, state: closed, window: window, share: 1,
+			badSince: never, returnedAt: -never, trippedAt: -1}
+		d.routes = append(d.routes, fresh)
+		s.routes = append(s.routes, fresh)
+	}
+	rc := &receiver{id: entry.Receiver, zone: entry.Zone, credits: s.credits, creditAt: s.now}
+	if d.kind.Apart && int(entry.Zone) < len(s.settings.ZoneFees) {
+		rc.fee = s.settings.ZoneFees[entry.Zone]
+	}
+	rc.route = d.routes[len(d.routes)-1]
+	rc.route.receivers = append(rc.route.receivers, rc)
+	s.receivers[entry.Receiver] = rc
+	return rc
+}
+
+// forget lets go of a notice that is over; while its trip is out, it keeps its place in the key's line.
+func (s *Sender) forget(n *notice) {
+	n.over = true
+	if n.out != nil {
+		return
+	}
+	delete(s.notices, n.id)
+	if k := s.keys[n.key]; k != nil {
+		k.line = slices.DeleteFunc(k.line, func(o *notice) bool { return o == n })
+		if len(k.line) == 0 && k.restUntil <= s.now {
+			delete(s.keys, n.key)
+		}
+	}
+}
+
+// tally counts the outcomes since a time, and forgets those before.
+func (r *route) tally(since Millis) (calls, failures int) {
+	r.outcomes = slices.DeleteFunc(r.outcomes, func(o outcome) bool { return o.at < since })
+	for _, o := range r.outcomes {
+		if o.failed {
+			failures++
+		}
+	}
+	return len(r.outcomes), failures
+}
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -16,6 +16,7 @@
 	now    Millis
 	trips  []Send // those out, oldest first
 	next   NoticeID
+	quiet  bool // leaves sends out of the text
 	text   strings.Builder
 }
 
@@ -49,6 +50,9 @@
 		switch a := a.(type) {
 		case Send:
 			t.trips = append(t.trips, a)
+			if t.quiet {
+				continue
+			}
 			t.say("send %d to %d, time-out %.0f", a.Notice, a.Receiver, a.TimeOut)
 		case Dismiss:
 			t.say("dismiss %d, retry after %.0f", a.Notice, a.RetryAfter)
@@ -56,6 +60,10 @@
 			t.say("break off %d", a.Notice)
 		case Log:
 			t.say("log %s", a.Text)
+		case CallOff:
+			t.say("call off %d, trip %d", a.Notice, a.Trip)
+		case LetGo:
+			t.say("let go of idle connections to %d", a.Receiver)
 		case WatchList:
 			t.say("watch the list")
 		}
