Ask for a new timer when the last one came a hair early

Cause: a timer's time is kept as a float of milliseconds, the wire rounds it to microseconds, and it may come just before the kept time. Anything within half a tick now counts as due. Also guards against a driver with a coarser clock.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -767,7 +767,7 @@
 	if s.slotsOut > 0 {
 		next = min(next, s.now+s.settings.Fall/8)
 	}
-	if s.timerAt <= s.now {
+	if s.timerAt < s.now+s.settings.Tick/2 { // the wire's clock may round it to just before its time
 		s.timerAt = never
 	}
 	next = max(next, s.now+s.settings.Tick)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -285,3 +285,15 @@
 	t.take(4, NoticeTaken{Destination: 1})
 	t.check(tt)
 }
+
+func TestTimerRoundedDown(tt *testing.T) {
+	t := start(madeUp())
+	t.timers = true
+	t.note("a timer that comes a hair before its time is not waited for any longer")
+	t.take(1, NoticeTaken{Destination: 1, Left: 500})
+	t.now = 485 - 1e-9
+	t.turn()
+	t.now = 490
+	t.turn()
+	t.check(tt)
+}
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -17,6 +17,7 @@
 	trips  []Send // those out, oldest first
 	next   NoticeID
 	quiet  bool // leaves sends out of the text
+	timers bool // puts timers in
 	text   strings.Builder
 }
 
@@ -64,6 +65,10 @@
 			t.say("call off %d, trip %d", a.Notice, a.Trip)
 		case LetGo:
 			t.say("let go of idle connections to %d", a.Receiver)
+		case SetTimer:
+			if t.timers {
+				t.say("timer in %.0f", a.After)
+			}
 		case WatchList:
 			t.say("watch the list")
 		}
