Distrust idle connections where calls on them are lost far more often

Calls after a pause are set against the others; where a tenth of them, and three times the others' share, are lost, idle connections are closed first. Replaces the count of resets.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,7 +36,8 @@
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
 	leastShare  = 1.0 / 16
-	breaking    = 0.02 // of the calls reset: from here on, idle connections are not trusted
+	breaking    = 0.1 // of the calls on idle connections lost, beyond what others lose, makes these suspect
+	farWorse    = 3.0 // so many times what is lost on others
 
 	never = Millis(math.MaxFloat64)
 )
@@ -314,10 +315,7 @@
 		return
 	}
 	c.judged = true
-	s.calls.add(s.now, statisticsWindow, 1)
-	if e.Result == Reset {
-		s.resets.add(s.now, statisticsWindow, 1)
-	}
+	s.bookConnection(c, e)
 	if e.LimitTold {
 		r.limitRate = e.LimitRate / 1000
 	}
@@ -336,6 +334,29 @@
 	}
 }
 
+// bookConnection sets calls on a connection that had been idle against the others, by how many broke or were
+// swallowed.
+func (s *Sender) bookConnection(c *call, e TripEnded) {
+	kept := &s.busy
+	if c.idle {
+		kept = &s.idle
+	}
+	kept.calls.add(s.now, statisticsWindow, 1)
+	if e.Result == Reset || c.off || e.Result == TimedOut && !c.curbed {
+		kept.broke.add(s.now, statisticsWindow, 1)
+	} else {
+		c.receiver.answeredAt = s.now
+	}
+}
+
+// distrustsIdle tells whether idle connections break more often by far than others: then something between
+// forgets them, and what goes out on one is lost, for good if it must not run twice.
+func (s *Sender) distrustsIdle() bool {
+	broke, calls := s.idle.broke.read(s.now, statisticsWindow), s.idle.calls.read(s.now, statisticsWindow)
+	others := s.busy.broke.read(s.now, statisticsWindow) / (1 + s.busy.calls.read(s.now, statisticsWindow))
+	return broke >= 1 && broke/calls > breaking+farWorse*others
+}
+
 // earn gives a receiver credits back: an answer what its send has spent, a success what a failed call has
 // spent besides. What stays lost comes back one a fall.
 func (s *Sender) earn(rc *receiver, credits float64) float64 {
@@ -722,16 +743,17 @@
 		}
 		c = &call{receiver: rc, sentAt: s.now, trial: r.state == halfOpen, patience: wait,
 			curbed: s.lastCall(n)-s.now < n.grade.QuotedTime}
-		r.out = append(r.out, c)
 		s.fresh = append(s.fresh, c)
 		s.slotsOut++
 		rc.credits--
 		s.pace(r)
-		// Where connections break, an idle one may be dead already: what goes out on it may be lost, and for
-		// good if it must not run twice. A new one costs a handshake.
-		if s.resets.read(s.now, statisticsWindow) > max(breaking*s.calls.read(s.now, statisticsWindow), 0.5) {
+		held := slices.ContainsFunc(r.out, func(o *call) bool { return o.receiver == rc })
+		c.idle = held || s.now-rc.answeredAt > s.settings.Fall/4
+		if c.idle && s.distrustsIdle() {
+			c.idle = false
 			s.do(LetGo{rc.id})
 		}
+		r.out = append(r.out, c)
 	}
 	c.riders = append(c.riders, n)
 	c.waiting++
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -190,11 +190,15 @@
 
 func TestIdleConnections(tt *testing.T) {
 	t := start(madeUp(), entry(10, 1))
-	t.note("once calls were reset, idle connections are closed before the next call")
-	t.take(1, NoticeTaken{Destination: 1})
-	t.answer(Reset)
-	t.answer(Reset)
-	t.answer(Handled)
+	t.note("once calls were lost after pauses and none without, idle connections are closed before the next call")
+	for _, result := range []Result{Handled, Reset, Handled, Handled, Handled, Handled, TimedOut} {
+		t.take(1, NoticeTaken{Destination: 1})
+		t.answer(result)
+		if result != Handled {
+			t.answer(Handled)
+		}
+		t.pass(900)
+	}
 	t.take(1, NoticeTaken{Destination: 1})
 	t.check(tt)
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,17 +41,19 @@
 	riders             []*notice
 	waiting            int // riders without an outcome yet
 	judged, trial, off bool
+	idle               bool // went out on a connection that may have been idle
 	curbed             bool // its time-out was cut short by the client timeout
 }
 
 type receiver struct {
-	id       ReceiverID
-	route    *route
-	zone     ZoneID
-	standing Standing
-	fee      float64
-	credits  float64
-	creditAt Millis
+	id         ReceiverID
+	route      *route
+	zone       ZoneID
+	standing   Standing
+	fee        float64
+	credits    float64
+	creditAt   Millis
+	answeredAt Millis
 }
 
 // route is what has a breaker, a delay window, a wait and a pace of its own: a destination, or where a
@@ -114,27 +116,30 @@
 	over                       bool
 }
 
+// connections counts calls, and those that broke or were swallowed.
+type connections struct{ calls, broke sum }
+
 // Sender decides for one sender.
 type Sender struct {
-	settings      Settings
-	chance        uint64
-	now           Millis
-	actions       []Action
-	notices       map[NoticeID]*notice
-	held          []*notice // those not over, in the order taken
-	destinations  map[DestinationID]*destination
-	routes        []*route
-	receivers     map[ReceiverID]*receiver
-	keys          map[KeyID]*keyLine
-	portfolios    []sum
-	grades        []*grade
-	credits       float64 // of a receiver, at most
-	slotsOut      int
-	fresh         []*call // calls begun in this turn
-	again, won    sum     // further trips and those that succeeded
-	calls, resets sum     // and those that broke
-	timerAt       Millis
-	watchAt       Millis
+	settings     Settings
+	chance       uint64
+	now          Millis
+	actions      []Action
+	notices      map[NoticeID]*notice
+	held         []*notice // those not over, in the order taken
+	destinations map[DestinationID]*destination
+	routes       []*route
+	receivers    map[ReceiverID]*receiver
+	keys         map[KeyID]*keyLine
+	portfolios   []sum
+	grades       []*grade
+	credits      float64 // of a receiver, at most
+	slotsOut     int
+	fresh        []*call // calls begun in this turn
+	again, won   sum     // further trips and those that succeeded
+	idle, busy   connections
+	timerAt      Millis
+	watchAt      Millis
 }
 
 // random is a permuted congruential generator's next number, from 0 to below 1.
