No opening by failures in a row; calls spaced at half the return pace while an outage goes on

Cause: the exception that opened the breaker after three or five failures in a row cost more than it saved. After the return it waits out its reset and three trials, and where an outage takes some receivers it shuts out the others. Change: no opening by failures in a row, silence from six patiences instead of three, and while an outage is sure but the breaker closed, half the return pace. Harm: a destination with few calls that is down is called now and then, where an open breaker would not.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,13 +25,14 @@
 	bestDrift = 0.01 // how far each answer draws the best delay up to the mean
 
 	overdue     = 6.0  // a call out so many times the mean delay is overdue
-	silent      = 3.0  // so many patiences owed by all calls together make a route silent
+	silent      = 6.0  // so many patiences owed by all calls together make a route silent
 	hopeless    = 2.0  // a call out so many times as long as makes it overdue may be called off for its slot
 	creditPart  = 0.15 // a receiver's credits, as a share of the slots
 	foresight   = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
 	nearlyFull  = 0.9  // of the hold limit: from here on the least promising make room
 	ownPart     = 1.5  // of the return budget: see docs/design.md on why it may be over one
 	closeServed = 0.2  // how near a grade's served share must be to the worst to count with it
+	probing     = 0.5  // of the pace of a return, while an outage goes on and the breaker is closed
 	sureAfter   = 2.0  // an outage is sure after so many falls without a success
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
@@ -461,9 +462,8 @@
 	}
 }
 
-// record feeds the sliding window and opens the breaker. Two exceptions to the design: a run of failures with
-// no success between opens it too, since a long window of good calls hides a sudden end, and a shorter run
-// does where the window never fills.
+// record feeds the sliding window and opens the breaker. A quiet destination may never fill its window:
+// there the pace of an outage holds calls back.
 func (s *Sender) record(r *route, failed bool) {
 	r.outcomes = append(r.outcomes, outcome{s.now, failed})
 	calls, failures := r.tally(s.now - statisticsWindow)
@@ -471,20 +471,9 @@
 		return
 	}
 	many := failures >= failureThreshold && (calls < 2*minimumCallsBeforeCalculation || 2*failures >= calls)
-	switch {
-	case many && calls >= minimumCallsBeforeCalculation:
+	if many && calls >= minimumCallsBeforeCalculation {
 		s.trip(r, fmt.Sprintf("%d of %d calls failed", failures, calls))
-	case r.run >= r.tolerance():
-		s.trip(r, fmt.Sprintf("%d failures in a row", r.run))
-	}
-}
-
-// tolerance is how many failures in a row a closed breaker bears.
-func (r *route) tolerance() int {
-	if len(r.outcomes) < minimumCallsBeforeCalculation {
-		return halfOpenMaxCalls
 	}
-	return failureThreshold
 }
 
 func (s *Sender) trip(r *route, why string) {
@@ -720,6 +709,9 @@
 	others := float64(max(s.settings.Senders, 1))
 	capacity := max(r.limitRate/others, r.listedRate/others, r.handledRate, 1/float64(s.settings.Fall))
 	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
+	if s.outage(r) {
+		capacity *= probing
+	}
 	return min(rate, ownPart*s.settings.TipMultiple*capacity), true
 }
 
