--- a/rules/rules.go
+++ b/rules/rules.go
@@ -479,7 +479,6 @@
 func (s *Sender) trip(r *route, why string) {
 	r.reopenAt = s.now + resetTimeout
 	r.window = max(r.window/2, 1)
-	r.trippedAt = s.now
 	s.sign(r, true)
 	s.turn(r, open, why)
 }
@@ -646,7 +645,7 @@
 	if s.slotsOut >= s.settings.Slots || r.state == open {
 		return false
 	}
-	calls, sick, live, trials := 0, false, 0, r.proved
+	calls, sick, trials := 0, false, r.proved
 	for _, o := range r.destination.routes {
 		calls += len(o.out)
 		sick = sick || s.sick(o)
@@ -655,9 +654,6 @@
 		if c.trial {
 			trials++
 		}
-		if c.sentAt > r.trippedAt {
-			live++ // what was out when the breaker opened may be lost, and holds no place in the window
-		}
 	}
 	if r.state == halfOpen && trials >= halfOpenMaxCalls {
 		return false
@@ -667,7 +663,7 @@
 		share = 0.5
 	}
 	most := max(math.Floor(share*float64(s.settings.Slots)), 1)
-	return float64(calls) < most && float64(live) < max(math.Floor(min(r.window, most)), 1)
+	return float64(calls) < most && float64(len(r.out)) < max(math.Floor(min(r.window, most)), 1)
 }
 
 // repeatSafe keeps an effect from happening twice.
--- a/rules/state.go
+++ b/rules/state.go
@@ -68,7 +68,6 @@
 	reopenAt                Millis
 	proved, run             int     // trials succeeded; failures since the last success
 	owed                    float64 // how overdue its calls are together; 1: silent
-	trippedAt               Millis
 	delays, answers         sum
 	mean, best, answeredAt  Millis
 	window                  float64
@@ -163,7 +162,7 @@
 	}
 	if len(d.routes) == 0 || d.kind.Apart {
 		fresh := &route{destination: d, state: closed, window: window, share: 1,
-			badSince: never, returnedAt: -never, trippedAt: -1}
+			badSince: never, returnedAt: -never}
 		d.routes = append(d.routes, fresh)
 		s.routes = append(s.routes, fresh)
 	}
