Tell a shut destination by what is left of its limit; keep connections by what kinds refuse

Also guards against full queues and lowered limits taken for limits. Harm: stale reports make a limit look like an outage.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,10 +37,13 @@
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
 	leastShare  = 1.0 / 16
-	breaking    = 0.1 // of the calls on idle connections lost, beyond what others lose, makes these suspect
-	farWorse    = 3.0 // so many times what is lost on others
-
-	keeping = 0.25 // of the number of senders: so many calls while one would stay idle keep a connection
+	breaking    = 0.1      // of the calls on idle connections lost, beyond what others lose, makes these suspect
+	muchLeft    = 0.5      // of a limit: a call refused with more left was not refused for the limit
+	farWorse    = 3.0      // so many times what is lost on others
+	keeping     = 1.5      // calls while an idle connection would last, that make it worth keeping
+	evenKeeping = 0.25     // the same, for each sender, where connections are refused
+	crowded     = 1.0 / 32 // of the calls to a kind: more refused connections are too many
+	fewCalls    = 8        // too little to know a kind by
 
 	never = Millis(math.MaxFloat64)
 )
@@ -62,6 +65,9 @@
 	for _, g := range settings.Grades {
 		s.grades = append(s.grades, &grade{Grade: g})
 	}
+	for _, k := range settings.Kinds {
+		s.kinds = append(s.kinds, &kind{Kind: k})
+	}
 	if settings.ListOnAsk {
 		s.watchAt = 0
 	}
@@ -84,9 +90,7 @@
 		case ListTold:
 			s.listTold(e)
 		case ListFailed:
-			if s.settings.ListOnAsk {
-				s.watchAt = s.now + s.settings.AskWithin/16*Millis(1+s.random())
-			}
+			s.watchAt = s.now + s.settings.AskWithin/16*Millis(1+s.random())
 		}
 	}
 	if s.now >= s.watchAt {
@@ -183,7 +187,7 @@
 // weighGrades gives each grade its weight in what the deployment aims for: the credit of the whole, and of
 // the grade served worst. It guards against giving up the grade with the least credit for all others.
 func (s *Sender) weighGrades() {
-	total, worst := 0.0, 0.0
+	var total, worst float64
 	for _, g := range s.grades {
 		asked := 1 + g.asked.read(s.now, statisticsWindow)
 		g.weight = math.Exp(-(1 + g.earned.read(s.now, statisticsWindow)) / asked / closeServed)
@@ -215,9 +219,8 @@
 
 // giveUp ends what can no longer be handled, at once.
 func (s *Sender) giveUp() {
-	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
 	for _, n := range s.held {
-		if n.out != nil {
+		if n.out != nil || n.over {
 			continue
 		}
 		opens := s.opensAt(n)
@@ -292,11 +295,10 @@
 		s.forget(n)
 		return
 	}
-	if mayRun && !n.mayHaveRun {
-		n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
-	}
 	if mayRun {
-		n.ran++
+		if n.ran++; !n.mayHaveRun {
+			n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
+		}
 	}
 	// How often a further trip is made follows how many of the recent ones succeeded.
 	if e.Result != Full && e.Result != Moot {
@@ -313,10 +315,7 @@
 		r.out = slices.DeleteFunc(r.out, func(o *call) bool { return o == c })
 	}
 	r.waitUntil = max(r.waitUntil, s.now+e.Wait)
-	// A destination takes only so many connections, and what many senders keep idle shuts out others: each
-	// keeps one only where it calls often for their number.
-	uses := c.receiver.used.read(s.now, s.settings.IdleKept)
-	if c.waiting == 0 && uses < keeping*float64(s.settings.Senders) {
+	if c.waiting == 0 && !s.keeps(c.receiver) {
 		s.do(LetGo{c.receiver.id})
 	}
 	if c.judged {
@@ -325,7 +324,10 @@
 	c.judged = true
 	s.bookConnection(c, e)
 	if e.LimitTold {
-		r.limitRate = e.LimitRate / 1000
+		r.limitRate, r.limitLeft = e.LimitRate/1000, e.LimitLeft
+		if e.LimitRate == 0 {
+			r.limitLeft = 1
+		}
 	}
 	switch {
 	case e.Result == Handled:
@@ -343,13 +345,17 @@
 }
 
 // bookConnection sets calls on a connection that had been idle against the others, by how many broke or were
-// swallowed.
+// swallowed, and counts the connections refused by destinations of a kind.
 func (s *Sender) bookConnection(c *call, e TripEnded) {
-	kept := &s.busy
+	kept, made := &s.busy, &c.receiver.route.destination.kind.made
 	if c.idle {
 		kept = &s.idle
 	}
 	kept.calls.add(s.now, statisticsWindow, 1)
+	made.calls.add(s.now, statisticsWindow, 1)
+	if e.Result == NotConnected {
+		made.broke.add(s.now, statisticsWindow, 1)
+	}
 	if e.Result == Reset || c.off || e.Result == TimedOut && !c.curbed {
 		kept.broke.add(s.now, statisticsWindow, 1)
 	} else {
@@ -357,6 +363,18 @@
 	}
 }
 
+// keeps tells whether a connection is worth keeping. Some destinations take only so many, and what many senders
+// keep idle shuts out others: so it is where this sender calls again soon, and if destinations of its kind refuse
+// connections, or too little is known of them, where it calls often for the number of senders.
+func (s *Sender) keeps(rc *receiver) bool {
+	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
+	calls := made.calls.read(s.now, statisticsWindow)
+	if made.broke.read(s.now, statisticsWindow) <= crowded*(calls-fewCalls) {
+		often = min(often, keeping)
+	}
+	return rc.used.read(s.now, s.settings.IdleKept) >= often
+}
+
 // distrustsIdle tells whether idle connections break more often by far than others: then something between
 // forgets them, and what goes out on one is lost, for good if it must not run twice.
 func (s *Sender) distrustsIdle() bool {
@@ -375,9 +393,8 @@
 
 // measure moves the delay window.
 func (s *Sender) measure(r *route, spent Millis) {
-	span := s.settings.Fall
-	r.delays.add(s.now, span, float64(spent))
-	r.answers.add(s.now, span, 1)
+	r.delays.add(s.now, s.settings.Fall, float64(spent))
+	r.answers.add(s.now, s.settings.Fall, 1)
 	r.mean = Millis(r.delays.value / r.answers.value)
 	if r.best == 0 || r.mean < r.best {
 		r.best = r.mean
@@ -456,8 +473,10 @@
 		r.backoff = min(max(2*r.backoff, s.settings.Fall/16), s.settings.Fall)
 		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()/2))
 	}
-	if wait == 0 || wait > sureAfter*s.settings.Fall {
-		s.sign(r, wait > 0)
+	// Refused with much of the limit left, or for long: shut, not over its limit.
+	shut := r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
+	if wait == 0 || shut {
+		s.sign(r, shut && (wait > 0 || r.badSince < s.now))
 	}
 	if c.sentAt < r.yieldedAt {
 		return
@@ -541,8 +560,8 @@
 			}
 		}
 	}
-	waits := func(n *notice) bool { return n.out == nil }
-	if s.slotsOut >= s.settings.Slots && slices.ContainsFunc(ready, waits) {
+	stuck := slices.ContainsFunc(ready, func(n *notice) bool { return n.out == nil })
+	if stuck && s.slotsOut >= s.settings.Slots {
 		s.freeSlot()
 	}
 }
@@ -635,14 +654,7 @@
 	if s.joins(rc) != nil {
 		return true
 	}
-	if s.paceAt(rc.route) > s.now {
-		return false
-	}
-	begun := func(c *call) bool { return c.receiver == rc }
-	if rc.route.destination.kind.PerCall > 1 && slices.ContainsFunc(s.fresh, begun) {
-		return false
-	}
-	return s.roomFor(rc.route) && s.earn(rc, 0) >= 1
+	return s.paceAt(rc.route) <= s.now && s.roomFor(rc.route) && s.earn(rc, 0) >= 1
 }
 
 func (s *Sender) roomFor(r *route) bool {
@@ -667,21 +679,17 @@
 		share = 0.5
 	}
 	most := max(math.Floor(share*float64(s.settings.Slots)), 1)
-	return float64(calls) < most && float64(len(r.out)) < max(math.Floor(min(r.window, most)), 1)
+	return float64(calls) < most && float64(len(r.out)) < math.Floor(min(r.window, most))
 }
 
 // repeatSafe keeps an effect from happening twice.
 func (s *Sender) repeatSafe(n *notice, rc *receiver) bool {
-	if !n.mayHaveRun || n.grade.Repeat == Reissuable {
+	switch {
+	case !n.mayHaveRun || n.grade.Repeat == Reissuable || n.grade.Repeat == Numbered && !n.grade.ZoneOnly:
 		return true
-	}
-	if n.grade.Repeat == AtMostOnce {
+	case n.grade.Repeat == AtMostOnce:
 		return false
-	}
-	if !n.grade.ZoneOnly {
-		return true
-	}
-	if !n.zoneUnknown {
+	case !n.zoneUnknown:
 		return rc.zone == n.ranZone
 	}
 	for _, o := range s.receivers {
@@ -720,27 +728,21 @@
 // paceAt is when the next call may leave for a route. Senders that saw the same outage must not all call at
 // its end, so the first call after its signs comes at a part of the span that is drawn.
 func (s *Sender) paceAt(r *route) Millis {
-	rate, returning := s.rate(r)
-	if !returning {
-		return r.pacedFrom + Millis(1/rate)
-	}
+	rate, _ := s.rate(r)
 	return r.pacedFrom + Millis(r.phase/rate)
 }
 
 // pace books a call to a route.
 func (s *Sender) pace(r *route) {
-	rate, returning := s.rate(r)
-	r.phase = 1
-	if returning {
-		r.pacedFrom = s.now
-	} else {
-		r.pacedFrom = max(r.pacedFrom+Millis(1/rate), s.now-burstPart*s.settings.Fall)
+	at := s.paceAt(r)
+	r.pacedFrom, r.phase = s.now, 1
+	if _, returning := s.rate(r); !returning {
+		r.pacedFrom = max(at, s.now-burstPart*s.settings.Fall)
 	}
 }
 
 func (s *Sender) send(n *notice, rc *receiver) {
-	r := rc.route
-	c := s.joins(rc)
+	r, c := rc.route, s.joins(rc)
 	if c == nil {
 		wait := max(overdue*r.mean, n.grade.QuotedTime/2)
 		if r.mean == 0 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -329,3 +329,17 @@
 	t.turn()
 	t.check(tt)
 }
+
+func TestShutBelowLimit(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1))
+	t.note("refused for the limit, a destination is called again as the wait ends")
+	used := func(e *TripEnded) { e.LimitTold, e.LimitRate, e.LimitLeft, e.Wait = true, 5, 0, 900 }
+	t.take(8, NoticeTaken{Destination: 1})
+	t.answer(Full, used)
+	t.pass(2000)
+	t.note("refused with most of the limit left it is shut, and called again at the pace of a return")
+	left := func(e *TripEnded) { e.LimitTold, e.LimitRate, e.LimitLeft, e.Wait = true, 5, 0.9, 900 }
+	t.answer(Full, left)
+	t.pass(4000)
+	t.check(tt)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -73,7 +73,8 @@
 	mean, best, answeredAt Millis
 	window                 float64
 	waitUntil, backoff     Millis
-	limitRate, listedRate  float64 // as told and as listed, a millisecond
+	limitRate, limitLeft   float64 // as told, a millisecond, and the share that is left
+	listedRate             float64 // as listed, a millisecond
 	share                  float64 // of the limit, that this sender may use
 	yieldedAt              Millis
 	handled, failed        sum
@@ -85,7 +86,7 @@
 
 type destination struct {
 	id     DestinationID
-	kind   Kind
+	kind   *kind
 	held   int // notices of its own that are not over
 	routes []*route
 }
@@ -121,6 +122,12 @@
 // connections counts calls, and those that broke or were swallowed.
 type connections struct{ calls, broke sum }
 
+// kind is a kind of destination with the calls made to it, and those that found no connection.
+type kind struct {
+	Kind
+	made connections
+}
+
 // Sender decides for one sender.
 type Sender struct {
 	settings     Settings
@@ -134,6 +141,7 @@
 	receivers    map[ReceiverID]*receiver
 	keys         map[KeyID]*keyLine
 	portfolios   []sum
+	kinds        []*kind
 	grades       []*grade
 	credits      float64 // of a receiver, at most
 	slotsOut     int
@@ -157,7 +165,7 @@
 func (s *Sender) destination(id DestinationID) *destination {
 	d := s.destinations[id]
 	if d == nil {
-		d = &destination{id: id, kind: Kind{PerCall: 1}}
+		d = &destination{id: id, kind: &kind{Kind: Kind{PerCall: 1}}}
 		s.destinations[id] = d
 	}
 	return d
@@ -166,8 +174,8 @@
 // place makes room for a new receiver: a route of its own, or a place on its destination's.
 func (s *Sender) place(entry Entry, window float64) *receiver {
 	d := s.destination(entry.Destination)
-	if int(entry.Kind) < len(s.settings.Kinds) {
-		d.kind = s.settings.Kinds[entry.Kind]
+	if int(entry.Kind) < len(s.kinds) {
+		d.kind = s.kinds[entry.Kind]
 	}
 	if len(d.routes) == 0 || d.kind.Apart {
 		fresh := &route{destination: d, state: closed, window: window, share: 1,
