--- a/rules/rules.go
+++ b/rules/rules.go
@@ -363,9 +363,9 @@
 	}
 }
 
-// keeps tells whether a connection is worth keeping: where this sender calls again soon. Some destinations take
-// only so many, and what many senders keep idle shuts out others; so if those of its kind refuse connections, or
-// little is known of them, this sender must call often for the number of senders.
+// keeps tells whether a connection is worth keeping: where this sender calls again soon. Some destinations
+// take only so many, and what many senders keep idle shuts out others; so if those of its kind refuse them, or
+// little is known of it, this sender must call often for the number of senders.
 func (s *Sender) keeps(rc *receiver) bool {
 	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
 	calls := made.calls.read(s.now, statisticsWindow)
