Let pauses after refusals start from what the kind tells; an outage is sure by signs, not time

Guards against any crowd of senders that hold a limit down by their retries. Harm: a lone sender waits longer.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -364,7 +364,7 @@
 }
 
 // keeps tells whether a connection is worth keeping: where this sender calls again soon. Some destinations
-// take only so many, and what many senders keep idle shuts out others; so if those of its kind refuse them, or
+// take only so many, and what many senders keep idle shuts out others: so if those of its kind refuse some, or
 // little is known of it, this sender must call often for the number of senders.
 func (s *Sender) keeps(rc *receiver) bool {
 	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
@@ -410,24 +410,18 @@
 
 func (r *route) slow() bool { return r.mean > farBest*r.best }
 
-// sick tells whether a route fails, is silent or runs slow.
 func (s *Sender) sick(r *route) bool {
-	return r.state != closed || r.run > 0 || r.owed > 2.0/2 || s.outage(r) || r.slow()
+	return r.state != closed || r.run > 0 || r.owed > 2.0/2 || r.down || r.slow()
 }
 
-// outage tells whether an outage is sure and goes on, as far as is known.
-func (s *Sender) outage(r *route) bool { return s.now-r.badSince >= sureAfter*s.settings.Fall }
-
-// sign notes a sign of an outage.
+// sign notes a sign of an outage, which is sure if so told, or if the signs go on with no success between.
 func (s *Sender) sign(r *route, sure bool) {
 	if r.badSince == never || r.waitUntil > s.now {
 		r.phase, r.pacedFrom = s.random(), max(s.now, r.waitUntil)
 	}
 	r.badSince = min(r.badSince, s.now)
 	r.badAt = max(s.now, r.waitUntil)
-	if sure {
-		r.badSince = min(r.badSince, s.now-sureAfter*s.settings.Fall)
-	}
+	r.down = r.down || sure || s.now-r.badSince >= sureAfter*s.settings.Fall
 }
 
 func (s *Sender) success(r *route, c *call) {
@@ -436,10 +430,10 @@
 	r.share = min(r.share+1/(4*r.limitRate*float64(s.settings.Fall)+1), 1)
 	// An answer to a call from before the last sign of an outage tells nothing of its end.
 	if c.sentAt >= r.badAt {
-		if s.outage(r) {
-			r.returnedAt, r.downFor = s.now, s.now-r.badSince
+		if r.down {
+			r.returnedAt, r.downFor = s.now, max(s.now-r.badSince, sureAfter*s.settings.Fall)
 		}
-		r.badSince = never
+		r.badSince, r.down = never, false
 	}
 	if r.state == halfOpen && c.trial {
 		if r.proved++; r.proved >= halfOpenMaxCalls {
@@ -469,9 +463,14 @@
 // refused heeds a refusal: the limit, a full queue, or a shut destination.
 func (s *Sender) refused(r *route, c *call, wait Millis) {
 	r.answeredAt = s.now
-	if wait == 0 {
-		r.backoff = min(max(2*r.backoff, s.settings.Fall/16), s.settings.Fall)
-		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()/2))
+	if k := r.destination.kind; wait > 0 {
+		k.waits.add(s.now, statisticsWindow, float64(wait))
+		k.told.add(s.now, statisticsWindow, 1)
+	} else { // the longer, the more senders share a limit; so much that what they send together gets under it
+		usual := 2 * Millis(k.waits.value+float64(s.settings.Fall)/4) / Millis(k.told.value+0.5)
+		turn := Millis(float64(s.settings.Senders) / 2 / r.limitRate)
+		r.backoff = max(2*r.backoff, min(usual, turn), s.settings.Fall/16)
+		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()))
 	}
 	// Refused with much of the limit left, or for long: shut, not over its limit.
 	shut := r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
@@ -708,8 +707,8 @@
 		rate = r.share * r.limitRate
 	}
 	warm, down := float64((s.now-r.returnedAt)/s.settings.WarmWithin), r.downFor
-	if s.outage(r) {
-		warm, down = 0, max(s.now, r.waitUntil)-r.badSince
+	if r.down {
+		warm, down = 0, max(s.now, r.waitUntil, r.badSince+sureAfter*s.settings.Fall)-r.badSince
 	}
 	if warm >= 1 {
 		return rate, false
@@ -718,7 +717,7 @@
 	// part of the capacity is what it holds itself over that time, or an even part where that is more.
 	capacity := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
 	capacity = max(capacity, float64(r.destination.held)/float64(len(r.destination.routes))/float64(down))
-	if s.outage(r) {
+	if r.down {
 		capacity *= probing
 	}
 	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
@@ -780,8 +779,6 @@
 	return min(patience, s.lastCall(n)-s.now)
 }
 
-// Timers.
-
 // setTimer asks to be woken when the next thing may be due that no other event brings.
 func (s *Sender) setTimer() {
 	next := s.watchAt
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -343,3 +343,17 @@
 	t.pass(4000)
 	t.check(tt)
 }
+
+func TestRefusedAmongMany(tt *testing.T) {
+	settings := madeUp()
+	settings.Senders, settings.TripLimit = 40, 9
+	t := start(settings, entry(10, 1))
+	used := func(e *TripEnded) { e.LimitTold, e.LimitRate, e.LimitLeft = true, 5, 0 }
+	t.note("among many senders a refusal for the limit is followed by a pause that starts from what refusals told")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Full, used, wait(1400))
+	for range 4 {
+		t.answer(Full, used)
+	}
+	t.check(tt)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -81,6 +81,7 @@
 	badSince, badAt        Millis // first and last sign of an outage with no success of a later call
 	returnedAt, downFor    Millis // the end of the last outage, as far as seen, and its length
 	pacedFrom              Millis
+	down                   bool    // an outage is sure and goes on
 	phase                  float64 // part of the span between calls until the next one
 }
 
@@ -125,7 +126,8 @@
 // kind is a kind of destination with the calls made to it, and those that found no connection.
 type kind struct {
 	Kind
-	made connections
+	made        connections
+	waits, told sum
 }
 
 // Sender decides for one sender.
