--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,7 +37,7 @@
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
 	leastShare  = 1.0 / 16
-	breaking    = 0.1      // of the calls on idle connections lost, beyond what others lose, makes these suspect
+	breaking    = 0.1      // of the calls on idle connections lost, beyond what others lose, is suspect
 	muchLeft    = 0.5      // of a limit: a call refused with more left was not refused for the limit
 	farWorse    = 3.0      // so many times what is lost on others
 	keeping     = 1.5      // calls while an idle connection would last, that make it worth keeping
@@ -364,7 +364,7 @@
 }
 
 // keeps tells whether a connection is worth keeping: where this sender calls again soon. Some destinations
-// take only so many, and what many senders keep idle shuts out others: so if those of its kind refuse some, or
+// take few, and what many senders keep idle shuts out others: so if those of its kind refuse some, or
 // little is known of it, this sender must call often for the number of senders.
 func (s *Sender) keeps(rc *receiver) bool {
 	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
