Every refusal is a sign; calls at the full return pace during an outage

Guards against any destination that refuses without end, whatever it says of its limit. Harm: a destination far over its limit is called at the pace of a return.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,7 +32,7 @@
 	nearlyFull  = 0.9  // of the hold limit: from here on the least promising make room
 	ownPart     = 1.5  // of the return budget: see docs/design.md on why it may be over one
 	closeServed = 0.2  // how near a grade's served share must be to the worst to count with it
-	probing     = 0.5  // of the pace of a return, while an outage goes on and the breaker is closed
+	probing     = 1.0  // of the pace of a return, while an outage goes on and the breaker is closed
 	sureAfter   = 2.0  // an outage is sure after so many falls without a success
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
@@ -474,9 +474,7 @@
 	}
 	// Refused with much of the limit left, or for long: shut, not over its limit.
 	shut := r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
-	if wait == 0 || shut {
-		s.sign(r, shut && (wait > 0 || r.badSince < s.now))
-	}
+	s.sign(r, shut && (wait > 0 || r.badSince < s.now))
 	if c.sentAt < r.yieldedAt {
 		return
 	}
