A destination that refuses again with nothing handled for two falls is taken for down

Simulated servers.

Also guards against full queues. Harm: at a destination far over its limit a notice may wait some seconds longer.

--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -357,3 +357,18 @@
 	}
 	t.check(tt)
 }
+
+func TestRefusalsWithoutEnd(tt *testing.T) {
+	settings := madeUp()
+	settings.Senders = 150
+	t := start(settings, entry(10, 1))
+	used := func(e *TripEnded) { e.LimitTold, e.LimitRate, e.LimitLeft, e.Wait = true, 6, 0, 300 }
+	t.note("a hung destination's calls use up its limit: refused again with nothing handled, it is taken for down")
+	t.take(3, NoticeTaken{Destination: 1})
+	t.answer(Full, used)
+	t.answer(Full, used)
+	t.answer(Full, used)
+	t.answer(Full, used)
+	t.pass(8000)
+	t.check(tt)
+}
