--- a/rules/rules.go
+++ b/rules/rules.go
@@ -472,8 +472,8 @@
 		r.backoff = max(2*r.backoff, min(usual, turn), s.settings.Fall/16)
 		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()))
 	}
-	// Refused with much of the limit left, or for long, or again with nothing handled for two falls: shut, or as
-	// good as shut, and not just over its limit.
+	// Refused with much of the limit left, or for long, or again with nothing handled for two falls: shut, or
+	// as good as shut, and not just over its limit.
 	shut := r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
 	dry := c.sentAt >= r.badSince && r.handled.read(s.now, s.settings.Fall) < math.Exp(-sureAfter)
 	s.sign(r, dry || shut && (wait > 0 || r.badSince < s.now))
