A second failure with nothing handled for two falls makes a route down

Cause: failures seconds apart never add up to a sure outage at a sender that sees a call in ten seconds, so its fresh notices went out unpaced.

Folded: a told wait with much of the limit left is shut; second refusals cover the rest. Guards against any outage seen by many senders a little each. Harm: after two lost calls in a row by chance a lone notice waits for seconds.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -282,7 +282,7 @@
 		k.restUntil = s.now + s.settings.KeyRest
 	}
 	if n.trips > 1 && e.Result != Moot {
-		s.again.add(s.now, statisticsWindow, 1)
+		s.further.add(s.now, statisticsWindow, 1)
 		if e.Result == Handled {
 			s.won.add(s.now, statisticsWindow, 1)
 		}
@@ -302,7 +302,7 @@
 	}
 	// How often a further trip is made follows how many of the recent ones succeeded.
 	if e.Result != Full && e.Result != Moot {
-		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.again.read(s.now, statisticsWindow) + 1)
+		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.further.read(s.now, statisticsWindow) + 1)
 		n.restUntil = s.now + n.grade.QuotedTime/16*Millis(1/succeeded-1)
 	}
 }
@@ -325,9 +325,6 @@
 	s.bookConnection(c, e)
 	if e.LimitTold {
 		r.limitRate, r.limitLeft = e.LimitRate/1000, e.LimitLeft
-		if e.LimitRate == 0 {
-			r.limitLeft = 1
-		}
 	}
 	switch {
 	case e.Result == Handled:
@@ -414,14 +411,21 @@
 	return r.state != closed || r.run > 0 || r.owed > 2.0/2 || r.down || r.slow()
 }
 
-// sign notes a sign of an outage, which is sure if so told, or if the signs go on with no success between.
-func (s *Sender) sign(r *route, sure bool) {
+// again tells whether a call left after the first sign of an outage, with nothing handled for two falls: of
+// what hundreds share, one sender hardly sees more.
+func (s *Sender) again(r *route, c *call) bool {
+	return c.sentAt >= r.badSince && r.handled.read(s.now, s.settings.Fall) < math.Exp(-sureAfter)
+}
+
+// sign notes a sign of an outage, from which on the route counts as down or not.
+func (s *Sender) sign(r *route, down, sure bool) {
 	if r.badSince == never || r.waitUntil > s.now {
 		r.phase, r.pacedFrom = s.random(), max(s.now, r.waitUntil)
 	}
 	r.badSince = min(r.badSince, s.now)
 	r.badAt = max(s.now, r.waitUntil)
-	r.down = r.down || sure || s.now-r.badSince >= sureAfter*s.settings.Fall
+	r.sure = r.sure || sure || s.now-r.badSince >= sureAfter*s.settings.Fall
+	r.down = r.down || r.sure || down
 }
 
 func (s *Sender) success(r *route, c *call) {
@@ -430,10 +434,10 @@
 	r.share = min(r.share+1/(4*r.limitRate*float64(s.settings.Fall)+1), 1)
 	// An answer to a call from before the last sign of an outage tells nothing of its end.
 	if c.sentAt >= r.badAt {
-		if r.down {
+		if r.sure || s.now-r.badSince >= sureAfter*s.settings.Fall {
 			r.returnedAt, r.downFor = s.now, max(s.now-r.badSince, sureAfter*s.settings.Fall)
 		}
-		r.badSince, r.down = never, false
+		r.badSince, r.down, r.sure = never, false, false
 	}
 	if r.state == halfOpen && c.trial {
 		if r.proved++; r.proved >= halfOpenMaxCalls {
@@ -447,7 +451,7 @@
 func (s *Sender) failure(r *route, c *call, why Result) {
 	r.run++
 	r.failed.add(s.now, s.settings.Fall, 1)
-	s.sign(r, r.failed.value >= max(r.handled.read(s.now, s.settings.Fall), 2))
+	s.sign(r, s.again(r, c), r.failed.value >= max(r.handled.read(s.now, s.settings.Fall), 2))
 	if why == Errored {
 		r.answeredAt = s.now
 	} else {
@@ -472,11 +476,9 @@
 		r.backoff = max(2*r.backoff, min(usual, turn), s.settings.Fall/16)
 		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()))
 	}
-	// Refused with much of the limit left, or for long, or again with nothing handled for two falls: shut, or
-	// as good as shut, and not just over its limit.
-	shut := r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
-	dry := c.sentAt >= r.badSince && r.handled.read(s.now, s.settings.Fall) < math.Exp(-sureAfter)
-	s.sign(r, dry || shut && (wait > 0 || r.badSince < s.now))
+	// Told to wait with much of the limit left, or for long: shut, not over its limit.
+	shut := wait > 0 && r.limitLeft > muchLeft || wait > sureAfter*s.settings.Fall
+	s.sign(r, false, shut || s.again(r, c))
 	if c.sentAt < r.yieldedAt {
 		return
 	}
@@ -505,7 +507,7 @@
 func (s *Sender) trip(r *route, why string) {
 	r.reopenAt = s.now + resetTimeout
 	r.window = max(r.window/2, 1)
-	s.sign(r, true)
+	s.sign(r, true, true)
 	s.turn(r, open, why)
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -372,3 +372,17 @@
 	t.pass(8000)
 	t.check(tt)
 }
+
+func TestFailedTwiceAmongMany(tt *testing.T) {
+	settings := madeUp()
+	settings.Senders = 300
+	t := start(settings, entry(10, 1))
+	t.note("two failures seconds apart are all that one of hundreds sees: from then on it waits for its part")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(NotConnected)
+	t.pass(500)
+	t.answer(NotConnected)
+	t.take(1, NoticeTaken{Destination: 1})
+	t.pass(16_000)
+	t.check(tt)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -81,7 +81,7 @@
 	badSince, badAt        Millis // first and last sign of an outage with no success of a later call
 	returnedAt, downFor    Millis // the end of the last outage, as far as seen, and its length
 	pacedFrom              Millis
-	down                   bool    // an outage is sure and goes on
+	down, sure             bool    // an outage is sure and goes on
 	phase                  float64 // part of the span between calls until the next one
 }
 
@@ -148,7 +148,7 @@
 	credits      float64 // of a receiver, at most
 	slotsOut     int
 	fresh        []*call // calls begun in this turn
-	again, won   sum     // further trips and those that succeeded
+	further, won sum     // further trips and those that succeeded
 	idle, busy   connections
 	timerAt      Millis
 	watchAt      Millis
