Equal receivers rank by each sender's own lot; one where a grade failed comes last for it

1. 92% of the calls of a sender to a destination went to one endpoint, and as credits were equal it was the first of the list for every sender. With few senders the endpoint's table had room for all. Guards against any endpoint that all lists name first. Harm: with two or three senders the lots may fall alike.

Also guards against a single sick endpoint whose destination is well. Harm: load shifts to the other receivers, whose limit may be short.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -32,7 +32,6 @@
 	nearlyFull  = 0.9  // of the hold limit: from here on the least promising make room
 	ownPart     = 1.5  // of the return budget: see docs/design.md on why it may be over one
 	closeServed = 0.2  // how near a grade's served share must be to the worst to count with it
-	probing     = 1.0  // of the pace of a return, while an outage goes on and the breaker is closed
 	sureAfter   = 2.0  // an outage is sure after so many falls without a success
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
 	yielding    = 0.7  // what is left of this sender's share of a limit after a refusal
@@ -290,12 +289,14 @@
 	if e.Result == Handled && !n.over {
 		n.grade.asked.add(s.now, statisticsWindow, n.credit)
 		n.grade.earned.add(s.now, statisticsWindow, s.worth(n, s.now))
+		delete(c.receiver.failures, n.grade)
 	}
 	if e.Over || n.over || e.Result == Handled {
 		s.forget(n)
 		return
 	}
 	if mayRun {
+		c.receiver.failed(n.grade).add(s.now, statisticsWindow, 1)
 		if n.ran++; !n.mayHaveRun {
 			n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
 		}
@@ -591,8 +592,9 @@
 	}
 }
 
-// offer sends a notice to the best receiver that the gate lets it go to. To a sick route, reissuable notices
-// go first: what they find out costs nothing.
+// offer sends a notice to the best receiver that the gate lets it go to. Equal ones rank by this sender's
+// lot: if all took the first of a list, its connections would run out. One where its grade failed comes last.
+// To a sick route, reissuable notices go first: what they find out costs nothing.
 func (s *Sender) offer(n *notice, first bool) {
 	var best *receiver
 	var bestScore float64
@@ -604,7 +606,8 @@
 			if !s.gate(n, rc) {
 				continue
 			}
-			score := s.earn(rc, 0) - rc.fee*100*s.credits - float64(len(r.out))
+			score := s.earn(rc, 0) - rc.fee*100*s.credits - float64(len(r.out)) + rc.lot
+			score -= float64(2*s.settings.Slots) * rc.failed(n.grade).read(s.now, statisticsWindow)
 			if s.joins(rc) != nil {
 				score += float64(s.settings.Slots)
 			}
@@ -719,9 +722,6 @@
 	// part of the capacity is what it holds itself over that time, or an even part where that is more.
 	capacity := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
 	capacity = max(capacity, float64(r.destination.held)/float64(len(r.destination.routes))/float64(down))
-	if r.down {
-		capacity *= probing
-	}
 	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
 	return min(rate, ownPart*s.settings.TipMultiple*capacity), true
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -386,3 +386,29 @@
 	t.pass(16_000)
 	t.check(tt)
 }
+
+func TestOwnLot(tt *testing.T) {
+	t := start(madeUp())
+	t.note("senders told the same list prefer different receivers of a destination")
+	for seed := range uint64(6) {
+		t.sender = New(seed<<40, madeUp())
+		t.turn(ListTold{Whole: true, Entries: []Entry{entry(10, 1), entry(11, 1), entry(12, 1)}})
+		t.take(1, NoticeTaken{Destination: 1})
+	}
+	t.check(tt)
+}
+
+func TestGradeFailsAtOneReceiver(tt *testing.T) {
+	t := start(madeUp(), entry(10, 1), entry(11, 1))
+	t.note("a grade whose trip failed at one receiver goes to the other one, while other grades go as before")
+	t.take(1, NoticeTaken{Destination: 1, Grade: 2})
+	t.answer(Errored)
+	t.pass(4000)
+	for range 3 {
+		t.take(1, NoticeTaken{Destination: 1})
+		t.answer(Handled)
+		t.take(1, NoticeTaken{Destination: 1, Grade: 2})
+		t.answer(Handled)
+	}
+	t.check(tt)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -54,7 +54,17 @@
 	credits    float64
 	creditAt   Millis
 	answeredAt Millis
-	used       sum // calls
+	used       sum             // calls
+	lot        float64         // drawn once: which of equal receivers this sender prefers
+	failures   map[*grade]*sum // failures of a service grade here since its last success
+}
+
+// failed is what trips of a grade have failed here since its last success.
+func (rc *receiver) failed(g *grade) *sum {
+	if rc.failures[g] == nil {
+		rc.failures[g] = &sum{}
+	}
+	return rc.failures[g]
 }
 
 // route is what has a breaker, a delay window, a wait and a pace of its own: a destination, or where a
@@ -185,7 +195,8 @@
 		d.routes = append(d.routes, fresh)
 		s.routes = append(s.routes, fresh)
 	}
-	rc := &receiver{id: entry.Receiver, zone: entry.Zone, credits: s.credits, creditAt: s.now}
+	rc := &receiver{id: entry.Receiver, zone: entry.Zone, credits: s.credits, creditAt: s.now, lot: s.random(),
+		failures: map[*grade]*sum{}}
 	if d.kind.Apart && int(entry.Zone) < len(s.settings.ZoneFees) {
 		rc.fee = s.settings.ZoneFees[entry.Zone]
 	}
