Those told to wait come back spread over the pause, not all as the wait ends

Guards against senders told alike that fall in step. Harm: a wait lasts up to one pause longer than told.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -128,8 +128,6 @@
 	}
 }
 
-// Notices.
-
 func (s *Sender) take(e NoticeTaken) {
 	g := &grade{Grade: Grade{ClientTimeout: e.Left, QuotedTime: e.Left}}
 	if int(e.Grade) < len(s.grades) {
@@ -266,8 +264,6 @@
 	s.held = slices.DeleteFunc(s.held, func(n *notice) bool { return n.over })
 }
 
-// Outcomes.
-
 func (s *Sender) tripEnded(e TripEnded) {
 	n := s.notices[e.Notice]
 	if n == nil || n.out == nil {
@@ -468,13 +464,16 @@
 // refused heeds a refusal: the limit, a full queue, or a shut destination.
 func (s *Sender) refused(r *route, c *call, wait Millis) {
 	r.answeredAt = s.now
-	if k := r.destination.kind; wait > 0 {
+	// The longer, the more senders share a limit: so much that what they send together gets under it.
+	k := r.destination.kind
+	usual := 2 * Millis(k.waits.value+float64(s.settings.Fall)/4) / Millis(k.told.value+0.5)
+	pause := min(usual, Millis(float64(s.settings.Senders)/2/r.limitRate))
+	if wait > 0 {
 		k.waits.add(s.now, statisticsWindow, float64(wait))
 		k.told.add(s.now, statisticsWindow, 1)
-	} else { // the longer, the more senders share a limit; so much that what they send together gets under it
-		usual := 2 * Millis(k.waits.value+float64(s.settings.Fall)/4) / Millis(k.told.value+0.5)
-		turn := Millis(float64(s.settings.Senders) / 2 / r.limitRate)
-		r.backoff = max(2*r.backoff, min(usual, turn), s.settings.Fall/16)
+		r.waitUntil = max(r.waitUntil, s.now+wait+pause*Millis(s.random()))
+	} else {
+		r.backoff = max(2*r.backoff, pause, s.settings.Fall/16)
 		r.waitUntil = max(r.waitUntil, s.now+r.backoff*Millis(0.5+s.random()))
 	}
 	// Told to wait with much of the limit left, or for long: shut, not over its limit.
@@ -543,8 +542,6 @@
 	}
 }
 
-// Sending.
-
 // serve sends what may be sent, the most urgent first.
 func (s *Sender) serve() {
 	var ready []*notice
