Pauses after refusals last up to the time in which all senders get a turn

The first pause was at most half a turn of all senders, so that together they sent twice the limit before it doubled.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -467,7 +467,7 @@
 	// The longer, the more senders share a limit: so much that what they send together gets under it.
 	k := r.destination.kind
 	usual := 2 * Millis(k.waits.value+float64(s.settings.Fall)/4) / Millis(k.told.value+0.5)
-	pause := min(usual, Millis(float64(s.settings.Senders)/2/r.limitRate))
+	pause := min(usual, Millis(float64(s.settings.Senders)/r.limitRate))
 	if wait > 0 {
 		k.waits.add(s.now, statisticsWindow, float64(wait))
 		k.told.add(s.now, statisticsWindow, 1)
