Tests of a huge list, of absent settings and of limits in the odd run

The seeded run of odd events now tells limits, the settings test reads how long an idle connection lasts, a list of 131,072 entries is read whole, and a sender told no settings ends its notice once.

--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -80,7 +80,7 @@
 		"repeat": "guarded", "key_scope": "zone", "key_ttl": 5000000, "sequential": true, "unheard_of": [1]}],
 		"kinds": ["a", "b"], "discovery": "subscribe", "group_size": 2, "goal": {"whole": 0.45, "worst_class": 0.2},
 		"family_info": {"fee_by_zone": [0, 0.03], "loses_worth": "by_half", "per_call": [5], "separate_routes": [true],
-		"slots": 11}, "limits": {"cancel": true, "max_retry_after": 3000000, "open_cap": 241, "retry_after": true,
+		"slots": 11}, "limits": {"cancel": true, "conn_idle": 15000000, "max_retry_after": 3000000, "open_cap": 241, "retry_after": true,
 		"send_cap": 12}, "obligations": {"cold_from": 0.16, "fall": 2000000, "key_rest": 300000, "must_ask_in": 10000000,
 		"tip_multiple": 2, "warm_within": 10000000}, "over_share_worth": 0.2, "realms": [{"quota_per_s": 19}],
 		"tick": 5000, "weight_source": "rough"}`))
@@ -94,12 +94,47 @@
 		Senders: 2, Slots: 11, HoldLimit: 241, TripLimit: 12, CallOff: true, Tick: 5, OverShare: 0.2, WholeGoal: 0.45,
 		WorstGoal: 0.2, HalvesLate: true, RetryAfter: true, RetryMost: 3000, ListOnAsk: true, AskWithin: 10_000,
 		ListedError: 0.5, ColdFrom: 0.16, WarmWithin: 10_000, TipMultiple: 2, Fall: 2000, KeyRest: 300,
+		IdleKept: 15_000,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("-want +got:\n%s", diff)
 	}
 }
 
+func TestHugeList(t *testing.T) {
+	const count = 1 << 17
+	entries := strings.Repeat("0a000000 01 0200 0300 01 00002041 0000000000000000", count)
+	reader := NewReader(bytes.NewReader(frame(3, fmt.Sprintf("1080 05 %08x", 0x0200)+entries, told)))
+	batch, err := reader.Next()
+	if err != nil || len(batch.Records[0].What.(rules.ListTold).Entries) != count {
+		t.Errorf("a list of %d entries: %v", count, err)
+	}
+}
+
+// TestAbsentSettings plays a notice to a sender that was told no settings at all: it may dismiss, not panic.
+func TestAbsentSettings(t *testing.T) {
+	reader := NewReader(bytes.NewReader(frame(3, "1010 0100 0000000000000000 02000000 7b7d", oneEntry, told, submit)))
+	batch, err := reader.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender := rules.New(1, batch.Records[0].What.(Created).Settings)
+	events := []rules.Event{batch.Records[1].What.(rules.Event), batch.Records[2].What.(rules.Event)}
+	ends := 0
+	for now := rules.Millis(0); now < 3000; now += 5 {
+		for _, a := range sender.Decide(now, events) {
+			switch a.(type) {
+			case rules.Dismiss, rules.BreakOff:
+				ends++
+			}
+		}
+		events = nil
+	}
+	if ends != 1 {
+		t.Errorf("%d final answers", ends)
+	}
+}
+
 func TestMalformed(t *testing.T) {
 	whole := frame(3, oneEntry, told, submit)
 	for name, in := range map[string][]byte{
--- a/rules/odd_test.go
+++ b/rules/odd_test.go
@@ -51,6 +51,7 @@
 			n := notices[trip.Notice]
 			e := TripEnded{Notice: trip.Notice, Receiver: trip.Receiver, Result: Result(draw.IntN(8)), Spent: 90}
 			n.out, n.mightRun = false, n.mightRun || e.Result != Full && e.Result != NotConnected && e.Result != Moot
+			e.LimitTold, e.LimitLeft, e.LimitRate = draw.IntN(2) > 0, draw.Float64(), float64(draw.IntN(9))
 			if e.Result == Full && list[trip.Receiver].Kind == 0 {
 				e.Wait = Millis(draw.IntN(900))
 				waits[n.Destination] = max(waits[n.Destination], t.now+e.Wait)
