An outage is taken to have lasted a reset time at least

Read sender by sender: most had seen only the last seconds of it, took it for two falls long, and so allowed each notice held a part four times too large.

Guards against any outage whose beginning was not seen. Harm: a short outage is followed by a slower return.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -432,7 +432,7 @@
 	// An answer to a call from before the last sign of an outage tells nothing of its end.
 	if c.sentAt >= r.badAt {
 		if r.sure || s.now-r.badSince >= sureAfter*s.settings.Fall {
-			r.returnedAt, r.downFor = s.now, max(s.now-r.badSince, sureAfter*s.settings.Fall)
+			r.returnedAt, r.downFor = s.now, max(s.now-r.badSince, resetTimeout)
 		}
 		r.badSince, r.down, r.sure = never, false, false
 	}
@@ -710,13 +710,13 @@
 	}
 	warm, down := float64((s.now-r.returnedAt)/s.settings.WarmWithin), r.downFor
 	if r.down {
-		warm, down = 0, max(s.now, r.waitUntil, r.badSince+sureAfter*s.settings.Fall)-r.badSince
+		warm, down = 0, max(s.now, r.waitUntil, r.badSince+resetTimeout)-r.badSince
 	}
 	if warm >= 1 {
 		return rate, false
 	}
 	// What all senders hold for the route came in over the outage, at its capacity at most: so this sender's
-	// part of the capacity is what it holds itself over that time, or an even part where that is more.
+	// part is what it holds over that time (a reset time at least: many see the end only), or an even part.
 	capacity := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
 	capacity = max(capacity, float64(r.destination.held)/float64(len(r.destination.routes))/float64(down))
 	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
