--- a/internal/benchwire/benchwire_test.go
+++ b/internal/benchwire/benchwire_test.go
@@ -155,7 +155,7 @@
 	err := w.Add(3, []rules.Action{
 		rules.LetGo{Receiver: 0x2c9011f2}, rules.Send{Notice: 0x5d3a91c4, Receiver: 0x03124a07, TimeOut: 80},
 		rules.Dismiss{Notice: 7, RetryAfter: 250}, rules.BreakOff{Notice: 7}, rules.CallOff{Notice: 7, Trip: 2},
-		rules.SetTimer{After: 500, Timer: 77}, rules.WatchList{}, rules.Log{Text: "hi"},
+		rules.SetTimer{After: 500, Timer: 77}, rules.WatchList{}, rules.Turned{Destination: 1, Route: 2, State: "open", Why: "hi"},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +164,7 @@
 		t.Fatal(err)
 	}
 	want := strings.Join([]string{
-		"0c000000 08000000 72000000",
+		"0c000000 08000000 8e000000",
 		"2404 06000000 0300 f211902c",
 		"e803 0e000000 0300 c4913a5d 80380100 074a1203",
 		"f203 0a000000 0300 07000000 90d00300",
@@ -172,7 +172,7 @@
 		"0604 07000000 0300 07000000 02",
 		"1004 0e000000 0300 20a10700 4d00000000000000",
 		"4c04 03000000 0300 01",
-		"3804 06000000 0300 0200 6869",
+		"3804 22000000 0300 1e00 64657374696e6174696f6e203120726f7574652032206f70656e3a206869",
 	}, "")
 	if diff := cmp.Diff(strings.ReplaceAll(want, " ", ""), hex.EncodeToString(out.Bytes())); diff != "" {
 		t.Errorf("-want +got:\n%s", diff)
--- a/internal/benchwire/encode.go
+++ b/internal/benchwire/encode.go
@@ -69,8 +69,9 @@
 	case rules.WatchList:
 		w.head(codeStreamChanges, 3, who)
 		w.body = append(w.body, 1)
-	case rules.Log:
-		text := a.Text[:min(len(a.Text), math.MaxUint16)]
+	case rules.Turned:
+		text := a.String()
+		text = text[:min(len(text), math.MaxUint16)]
 		w.head(codeEmit, 4+uint32(len(text)), who)
 		w.body = binary.LittleEndian.AppendUint16(w.body, uint16(len(text)))
 		w.body = append(w.body, text...)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -88,6 +88,44 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, err
 	}
+	report := scan(text, func(number rules.NoticeID, kind byte, record []byte, owed bool) {
+		if owed {
+			l.keep(number, kind, record)
+		} else {
+			l.drop(number)
+		}
+	})
+	l.Torn = report.Torn
+	if err := l.Compact(); err != nil {
+		return nil, nil, err
+	}
+	return l, report.Owed, nil
+}
+
+// Report is what a ledger's file says.
+type Report struct {
+	Bytes, Records int
+	Kinds          map[string]int // records by kind
+	Torn           int            // bytes at the end that can't be read
+	Owed           []Notice       // in the order taken
+}
+
+var kindNames = map[byte]string{kindTaken: "taken", kindTrip: "trip", kindUnrun: "never ran", kindEnded: "ended",
+	kindClosed: "closed", kindMade: "trips made"}
+
+// Read reads a folder's ledger and changes nothing, also while a sender writes to it: what that one is just writing
+// may then stand at the end as torn.
+func Read(folder string) (Report, error) {
+	text, err := os.ReadFile(filepath.Join(folder, fileName))
+	if err != nil {
+		return Report{}, fmt.Errorf("reading the ledger: %w", err)
+	}
+	return scan(text, func(rules.NoticeID, byte, []byte, bool) {}), nil
+}
+
+// scan reads records up to the first that can't be read; each is told, and whether its notice is owed after it.
+func scan(text []byte, each func(number rules.NoticeID, kind byte, record []byte, owed bool)) Report {
+	report := Report{Bytes: len(text), Kinds: map[string]int{}}
 	owed := map[rules.NoticeID]*Notice{}
 	var order []rules.NoticeID
 	for len(text) >= headSize {
@@ -103,24 +141,18 @@
 		if n := replay(owed, number, body[0], body[leastLen:]); n != nil {
 			order = append(order, number)
 		}
-		if owed[number] != nil {
-			l.keep(number, body[0], text[:headSize+size])
-		} else {
-			l.drop(number)
-		}
+		each(number, body[0], text[:headSize+size], owed[number] != nil)
+		report.Records++
+		report.Kinds[kindNames[body[0]]]++
 		text = text[headSize+size:]
 	}
-	l.Torn = len(text)
-	var notices []Notice
+	report.Torn = len(text)
 	for _, number := range order {
 		if n := owed[number]; n != nil {
-			notices = append(notices, *n)
+			report.Owed = append(report.Owed, *n)
 		}
 	}
-	if err := l.Compact(); err != nil {
-		return nil, nil, err
-	}
-	return l, notices, nil
+	return report
 }
 
 // replay takes a record; it returns the notice that a record begins.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -13,6 +13,7 @@
 	MemoryMB int     `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
 	DiskMB   float64 `json:"disk_mb"`
+	Cores    float64 `json:"cores"`
 }
 
 // Limits is what the sender grants itself.
--- /dev/null
+++ b/internal/logs/events.go
@@ -0,0 +1,82 @@
+package logs
+
+import (
+	"fmt"
+	"strings"
+)
+
+// The names of the log's lines. They and their keys stay as they are from one version to the next.
+const (
+	Ready          = "ready"
+	Leaving        = "leaving"
+	CountersLine   = "counters"
+	Breaker        = "breaker"
+	Reloaded       = "reloaded"
+	ReloadRefused  = "reload_refused"
+	ConfigOdd      = "config_odd"
+	PlatformBroken = "platform_broken"
+	LedgerTorn     = "ledger_torn"
+	LedgerFailed   = "ledger_failed"
+	LinesDropped   = "lines_dropped"
+	LeftOut        = "left_out"
+
+	Taken   = "taken"
+	Refused = "refused"
+	Trip    = "trip"
+	Outcome = "outcome"
+	Ended   = "ended"
+	Closed  = "closed"
+)
+
+// Event is one kind of line.
+type Event struct {
+	Name, Level string
+	Keys        []string
+	Sampled     bool // repeated lines are left out and counted
+	Doc         string
+}
+
+// Events is all lines that a sender logs.
+var Events = []Event{
+	{Ready, "info", []string{"listen", "receivers", "restored"}, false, "the sender serves; `restored` notices are owed from before its start"},
+	{Leaving, "info", []string{"held", "out"}, false, "told to leave; so many notices are held, and calls out"},
+	{CountersLine, "info", []string{"sender", "held", "owed"}, false, "what was counted since the start: at SIGUSR1 and at the end"},
+	{Breaker, "info", []string{"destination", "route", "state", "why"}, false, "a route's breaker changed its state; `route` is the number of its first receiver"},
+	{Reloaded, "info", []string{"discovery", "owed"}, false, "SIGHUP: the configuration was read anew, and so many ends go to the new address"},
+	{ReloadRefused, "error", []string{"why"}, false, "SIGHUP: the file can't be used, a line for each fault; the old configuration holds"},
+	{ConfigOdd, "warn", []string{"why"}, false, "a value of the platform's file makes no sense; the sender goes on"},
+	{PlatformBroken, "warn", []string{"why"}, true, "an answer of the platform could not be used; the last list holds, ends are told again"},
+	{LedgerTorn, "warn", []string{"bytes"}, false, "the ledger's end could not be read: the process before was killed within a write"},
+	{LedgerFailed, "error", []string{"why"}, true, "the ledger could not be written"},
+	{LinesDropped, "warn", []string{"count"}, false, "standard error was not read for a while; so many lines are lost"},
+	{LeftOut, "info", []string{"event", "count"}, false, "so many lines of an event were left out, as they came too often"},
+	{Taken, "debug", []string{"id", "notice", "grade", "destination", "left"}, false, "a notice was taken on"},
+	{Refused, "debug", []string{"id", "status"}, false, "a notice was turned away with this status"},
+	{Trip, "debug", []string{"id", "notice", "receiver", "address", "time_out"}, false, "a trip was begun"},
+	{Outcome, "debug", []string{"id", "notice", "receiver", "result", "spent", "wait"}, false, "a trip came to its end"},
+	{Ended, "debug", []string{"id", "notice", "outcome", "retry_in_ms"}, false, "a notice has its final answer, other than by being handled"},
+	{Closed, "debug", []string{"notice"}, false, "the platform has taken that answer; nothing more is owed"},
+}
+
+func event(name string) *Event {
+	for i := range Events {
+		if Events[i].Name == name {
+			return &Events[i]
+		}
+	}
+	return nil
+}
+
+// Page documents the events in Markdown.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("| event | level | keys | what it tells |\n| --- | --- | --- | --- |\n")
+	for _, e := range Events {
+		doc := e.Doc
+		if e.Sampled {
+			doc += "; sampled"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | `%s` | %s |\n", e.Name, e.Level, strings.Join(e.Keys, "`, `"), doc)
+	}
+	return b.String()
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,10 +3,12 @@
 package loop
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"chuteweir.example/chuteweir/internal/buffers"
@@ -15,6 +17,7 @@
 	"chuteweir.example/chuteweir/internal/intake"
 	"chuteweir.example/chuteweir/internal/ledger"
 	"chuteweir.example/chuteweir/internal/limits"
+	"chuteweir.example/chuteweir/internal/logs"
 	"chuteweir.example/chuteweir/internal/settings"
 	"chuteweir.example/chuteweir/internal/sockets"
 	"chuteweir.example/chuteweir/rules"
@@ -63,6 +66,7 @@
 	sweepAt      time.Time
 	leavingAt    time.Time
 	counters     Counters
+	tracing      bool // each notice's way is logged
 }
 
 // New opens the ledger and the sockets.
@@ -70,6 +74,7 @@
 	l := &Loop{config: c, log: log, started: time.Now(), notices: map[rules.NoticeID]*held{},
 		buffers: buffers.NewPool(c.Limits.Buffer), receivers: directory.NewReceivers(c.Names)}
 	l.now = l.started
+	l.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	for _, g := range c.Settings.Grades {
 		l.ids.span = max(l.ids.span, span(g.ClientTimeout))
 	}
@@ -93,7 +98,7 @@
 		return nil, err
 	}
 	if l.ledger.Torn > 0 {
-		log.Warn("ledger: the end could not be read", "bytes", l.ledger.Torn)
+		log.Warn(logs.LedgerTorn, "bytes", l.ledger.Torn)
 	}
 	for _, n := range owed {
 		l.restore(n)
@@ -106,7 +111,7 @@
 	if !c.Settings.ListOnAsk {
 		l.directory.Watch()
 	}
-	log.Info("ready", "listen", c.Listen, "receivers", len(known.Members), "restored", l.counters.Restored)
+	log.Info(logs.Ready, "listen", c.Listen, "receivers", len(known.Members), "restored", l.counters.Restored)
 	return l, nil
 }
 
@@ -152,14 +157,14 @@
 		case <-l.net.Ready():
 		case <-timer.C:
 		case <-signals.Tell:
-			l.log.Info("counters", "sender", l.counted())
+			l.log.Info(logs.CountersLine, "sender", l.counted(), "held", len(l.notices), "owed", l.directory.Owed())
 		case <-signals.Reload:
 			l.reload(signals.Read())
 		case <-signals.Leave:
 			if l.leavingAt.IsZero() {
 				l.leavingAt = time.Now()
 				l.intake.Leaving = true
-				l.log.Info("leaving", "held", len(l.notices), "out", l.calls.Out())
+				l.log.Info(logs.Leaving, "held", len(l.notices), "out", l.calls.Out())
 			}
 		}
 		// A turn costs the same for one event as for many: what comes close together is gathered in one.
@@ -170,7 +175,7 @@
 		}
 		timer.Reset(time.Until(next))
 	}
-	l.log.Info("counters", "sender", l.counted(), "held", len(l.notices), "owed", l.directory.Owed())
+	l.log.Info(logs.CountersLine, "sender", l.counted(), "held", len(l.notices), "owed", l.directory.Owed())
 	l.net.Stop()
 	l.ledger.Close()
 }
@@ -178,11 +183,13 @@
 // reload takes a new configuration: the directory moves to its address. One that can't be read changes nothing.
 func (l *Loop) reload(c Config, err error) {
 	if err != nil {
-		l.log.Error("configuration not read, the old one holds", "why", err)
+		for line := range strings.Lines(err.Error()) {
+			l.log.Error(logs.ReloadRefused, "why", strings.TrimSpace(line))
+		}
 		return
 	}
 	l.counters.Reloads++
-	l.log.Info("configuration read", "discovery", c.Discovery, "owed", l.directory.Owed())
+	l.log.Info(logs.Reloaded, "discovery", c.Discovery, "owed", l.directory.Owed())
 	l.directory.Move(c.Discovery)
 }
 
@@ -220,6 +227,9 @@
 		l.events = l.events[:0] // the ledger has kept what they told
 	}
 	for _, number := range l.directory.Told() {
+		if l.tracing {
+			l.log.Debug(logs.Closed, "notice", number)
+		}
 		l.keep(l.ledger.Closed(number))
 	}
 	next = l.next()
@@ -261,7 +271,7 @@
 		l.calls.Forget(receiver)
 	}
 	if l.directory.Why != "" {
-		l.log.Warn("answer of the platform passed over", "why", l.directory.Why)
+		l.log.Warn(logs.PlatformBroken, "why", l.directory.Why)
 		l.directory.Why = ""
 	}
 	if failed && l.config.Settings.ListOnAsk {
@@ -283,6 +293,10 @@
 func (l *Loop) book(e rules.TripEnded) {
 	n := l.notices[e.Notice]
 	n.out = false
+	if l.tracing {
+		l.log.Debug(logs.Outcome, "id", n.id, "notice", e.Notice, "receiver", e.Receiver, "result", e.Result,
+			"spent", span(e.Spent), "wait", span(e.Wait))
+	}
 	switch e.Result {
 	case rules.Handled:
 		l.counters.Handled++
@@ -320,7 +334,7 @@
 // keep reports what the ledger could not keep.
 func (l *Loop) keep(err error) {
 	if err != nil {
-		l.log.Error("ledger", "why", err)
+		l.log.Error(logs.LedgerFailed, "why", err)
 	}
 }
 
@@ -360,6 +374,9 @@
 }
 
 func (l *Loop) refuse(r *intake.Request, status int) {
+	if l.tracing {
+		l.log.Debug(logs.Refused, "id", r.ID, "status", status)
+	}
 	r.Body.Free()
 	l.intake.Answer(r, status, 0)
 }
@@ -384,12 +401,10 @@
 		r := n.request
 		switch a := ended[number].(type) {
 		case rules.Dismiss:
-			l.counters.Dismissed++
-			l.intake.Answer(r, 429, a.RetryAfter)
+			l.dismissed(r, 429, a.RetryAfter)
 			continue
 		case rules.BreakOff:
-			l.counters.Dismissed++
-			l.intake.Answer(r, 500, 0)
+			l.dismissed(r, 500, 0)
 			continue
 		}
 		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
@@ -405,11 +420,23 @@
 			continue
 		}
 		l.counters.Taken++
+		if l.tracing {
+			l.log.Debug(logs.Taken, "id", r.ID, "notice", number, "grade", settings.Name(l.config.Names.Grades, int(r.Grade)),
+				"destination", r.Destination, "left", span(r.Left))
+		}
 		n.request = nil
 		l.intake.Answer(r, 202, 0)
 	}
 }
 
+func (l *Loop) dismissed(r *intake.Request, status int, retryAfter rules.Millis) {
+	l.counters.Dismissed++
+	if l.tracing {
+		l.log.Debug(logs.Refused, "id", r.ID, "status", status)
+	}
+	l.intake.Answer(r, status, retryAfter)
+}
+
 func (l *Loop) carryOut(action rules.Action) {
 	switch a := action.(type) {
 	case rules.Send:
@@ -421,6 +448,10 @@
 		}
 		n.out = true
 		l.counters.Trips++
+		if l.tracing {
+			l.log.Debug(logs.Trip, "id", n.id, "notice", a.Notice, "receiver", a.Receiver,
+				"address", l.receivers.Addresses[a.Receiver], "time_out", span(a.TimeOut))
+		}
 		l.calls.Send(&calls.Call{Notice: a.Notice, Receiver: a.Receiver, Address: l.receivers.Addresses[a.Receiver],
 			Zone: l.receivers.Zones[a.Receiver],
 			ID:   n.id, Mark: n.mark, Body: n.body, TimeOut: span(a.TimeOut)})
@@ -436,8 +467,8 @@
 		l.timers = append(l.timers, l.now.Add(span(a.After)))
 	case rules.WatchList:
 		l.directory.Watch()
-	case rules.Log:
-		l.log.Info(a.Text)
+	case rules.Turned:
+		l.log.Info(logs.Breaker, "destination", a.Destination, "route", a.Route, "state", a.State, "why", a.Why)
 	}
 }
 
@@ -450,6 +481,9 @@
 		} else {
 			l.counters.HandedBack++
 		}
+		if l.tracing {
+			l.log.Debug(logs.Ended, "id", n.id, "notice", number, "outcome", outcome, "retry_in_ms", float64(retryAfter))
+		}
 		l.keep(l.ledger.Ended(number, outcome, float64(retryAfter)))
 		l.directory.Ended(directory.End{Notice: number, Message: n.id, Outcome: outcome, RetryInMS: float64(retryAfter)})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 
 	"chuteweir.example/chuteweir/rules"
@@ -13,18 +14,25 @@
 
 func (m micros) millis() rules.Millis { return rules.Millis(m) / 1000 }
 
+type class struct {
+	Name       string  `json:"name"`
+	Aim        micros  `json:"aim"`
+	Deadline   micros  `json:"deadline"`
+	Worth      float64 `json:"worth"`
+	LateWorth  float64 `json:"late_worth"`
+	Repeat     string  `json:"repeat"`
+	KeyScope   string  `json:"key_scope"`
+	KeyTTL     micros  `json:"key_ttl"`
+	Sequential bool    `json:"sequential"`
+}
+
+type realm struct {
+	Name      string  `json:"name"`
+	QuotaPerS float64 `json:"quota_per_s"`
+}
+
 type options struct {
-	Classes []struct {
-		Name       string  `json:"name"`
-		Aim        micros  `json:"aim"`
-		Deadline   micros  `json:"deadline"`
-		Worth      float64 `json:"worth"`
-		LateWorth  float64 `json:"late_worth"`
-		Repeat     string  `json:"repeat"`
-		KeyScope   string  `json:"key_scope"`
-		KeyTTL     micros  `json:"key_ttl"`
-		Sequential bool    `json:"sequential"`
-	} `json:"classes"`
+	Classes   []class  `json:"classes"`
 	Kinds     []string `json:"kinds"`
 	Discovery string   `json:"discovery"`
 	GroupSize int      `json:"group_size"`
@@ -57,11 +65,8 @@
 		WarmWithin  micros  `json:"warm_within"`
 	} `json:"obligations"`
 	OverShareWorth float64 `json:"over_share_worth"`
-	Realms         []struct {
-		Name      string  `json:"name"`
-		QuotaPerS float64 `json:"quota_per_s"`
-	} `json:"realms"`
-	Reporting struct {
+	Realms         []realm `json:"realms"`
+	Reporting      struct {
 		Fields []string `json:"fields"`
 	} `json:"reporting"`
 	Zones        []string `json:"zones"`
@@ -161,3 +166,95 @@
 	}
 	return s, names, nil
 }
+
+// Oddity is a value in the settings that is read, and makes no sense.
+type Oddity struct{ Key, What, Right string }
+
+// Odd looks for values that make no sense. A sender starts with them all the same: an unknown repeat is taken for
+// at-most-once, the safest.
+func Odd(text []byte) []Oddity {
+	var o options
+	if json.Unmarshal(text, &o) != nil {
+		return nil // Read tells why
+	}
+	var odd []Oddity
+	say := func(bad bool, right, what, key string, at ...any) {
+		if bad {
+			odd = append(odd, Oddity{fmt.Sprintf(key, at...), what, right})
+		}
+	}
+	seen := map[string]bool{}
+	say(len(o.Classes) == 0, "one at least", "there are none", "classes")
+	for i, c := range o.Classes {
+		_, known := repeats[c.Repeat]
+		say(!known, "free, guarded or single_shot", fmt.Sprintf("%q is unknown and taken for single_shot", c.Repeat), "classes.%d.repeat", i)
+		say(c.Aim <= 0, "a span above 0", "is no span", "classes.%d.aim", i)
+		say(c.Deadline < c.Aim, "not before aim", "is before aim", "classes.%d.deadline", i)
+		say(c.Worth < 0, "at least 0", "is negative", "classes.%d.worth", i)
+		say(c.LateWorth < 0 || c.LateWorth > 1, "from 0 to 1", "is no share", "classes.%d.late_worth", i)
+		say(c.Name == "" || seen[c.Name], "a name of its own", "is empty or stands twice", "classes.%d.name", i)
+		seen[c.Name] = true
+	}
+	for i, r := range o.Realms {
+		say(r.QuotaPerS < 0, "at least 0", "is negative", "realms.%d.quota_per_s", i)
+	}
+	say(o.FamilyInfo.Slots < 1, "at least 1", "no call can leave", "family_info.slots")
+	say(o.Limits.SendCap < 1, "at least 1", "no call can leave", "limits.send_cap")
+	say(o.Limits.OpenCap < 0, "at least 0", "is negative", "limits.open_cap")
+	say(o.Limits.ConnIdle <= 0, "a span above 0", "is no span", "limits.conn_idle")
+	say(o.Tick <= 0, "a span above 0", "is no span", "tick")
+	say(o.Obligations.Fall <= 0, "a span above 0", "is no span", "obligations.fall")
+	say(o.Obligations.WarmWithin <= 0, "a span above 0", "is no span", "obligations.warm_within")
+	say(o.Obligations.TipMultiple <= 0, "above 0", "is not above 0", "obligations.tip_multiple")
+	say(o.Obligations.ColdFrom < 0 || o.Obligations.ColdFrom > 1, "from 0 to 1", "is no share", "obligations.cold_from")
+	say(o.GroupSize < 1, "at least 1", "there is no sender", "group_size")
+	return odd
+}
+
+// Write writes settings in the platform's form; Read reads the same from it.
+func Write(s rules.Settings, names Names) ([]byte, error) {
+	var o options
+	us := func(m rules.Millis) micros { return micros(m * 1000) }
+	for i, g := range s.Grades {
+		c := class{Name: Name(names.Grades, i), Aim: us(g.QuotedTime), Deadline: us(g.ClientTimeout), Worth: g.Credit,
+			LateWorth: g.LateShare, KeyTTL: us(g.RemembersFor), Sequential: g.InOrder, KeyScope: "all"}
+		for name, repeat := range repeats {
+			if repeat == g.Repeat {
+				c.Repeat = name
+			}
+		}
+		if g.ZoneOnly {
+			c.KeyScope = "zone"
+		}
+		o.Classes = append(o.Classes, c)
+	}
+	o.Kinds, o.Zones, o.Reporting.Fields = names.Kinds, names.Zones, names.Report
+	for _, k := range s.Kinds {
+		o.FamilyInfo.PerCall = append(o.FamilyInfo.PerCall, k.PerCall)
+		o.FamilyInfo.SeparateRoutes = append(o.FamilyInfo.SeparateRoutes, k.Apart)
+	}
+	for i, quota := range s.Quotas {
+		o.Realms = append(o.Realms, realm{Name(names.Portfolios, i), quota})
+	}
+	o.Discovery, o.WeightSource, o.FamilyInfo.LosesWorth = "automatic", "none", "even"
+	if s.ListOnAsk {
+		o.Discovery = "subscribe"
+	}
+	if s.HalvesLate {
+		o.FamilyInfo.LosesWorth = "by_half"
+	}
+	for name, e := range listedErrors {
+		if e == s.ListedError {
+			o.WeightSource = name
+		}
+	}
+	o.FamilyInfo.FeeByZone, o.FamilyInfo.Slots, o.GroupSize = s.ZoneFees, s.Slots, s.Senders
+	o.Limits.OpenCap, o.Limits.SendCap, o.Limits.Cancel = s.HoldLimit, s.TripLimit, s.CallOff
+	o.Limits.ConnIdle, o.Limits.ConnectTime = us(s.IdleKept), us(names.ConnectTime)
+	o.Limits.RetryAfter, o.Limits.MaxRetryAfter = s.RetryAfter, us(s.RetryMost)
+	o.Goal.Whole, o.Goal.WorstClass, o.OverShareWorth, o.Tick = s.WholeGoal, s.WorstGoal, s.OverShare, us(s.Tick)
+	o.Obligations.ColdFrom, o.Obligations.TipMultiple = s.ColdFrom, s.TipMultiple
+	o.Obligations.Fall, o.Obligations.KeyRest, o.Obligations.WarmWithin = us(s.Fall), us(s.KeyRest), us(s.WarmWithin)
+	o.Obligations.MustAskIn = us(s.AskWithin)
+	return json.Marshal(o)
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -1,5 +1,7 @@
 package rules
 
+import "fmt"
+
 // The ids that reach the module from outside; none tells anything but sameness.
 type (
 	NoticeID      uint32
@@ -105,6 +107,11 @@
 	Moot // not sent
 )
 
+// String names a result.
+func (r Result) String() string {
+	return [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot"}[r]
+}
+
 // Event is something that happened to this sender.
 type Event interface{ event() }
 
@@ -187,8 +194,12 @@
 	}
 	// WatchList asks for list changes from now on.
 	WatchList struct{}
-	// Log adds a line for people.
-	Log struct{ Text string }
+	// Turned tells people that a route's breaker changed its state; Route is its first receiver.
+	Turned struct {
+		Destination DestinationID
+		Route       ReceiverID
+		State, Why  string
+	}
 )
 
 func (Send) action()      {}
@@ -198,4 +209,9 @@
 func (LetGo) action()     {}
 func (SetTimer) action()  {}
 func (WatchList) action() {}
-func (Log) action()       {}
+func (Turned) action()    {}
+
+// String is the change as a line of text.
+func (t Turned) String() string {
+	return fmt.Sprintf("destination %d route %d %s: %s", t.Destination, t.Route, t.State, t.Why)
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -507,7 +507,7 @@
 	if state == closed {
 		r.outcomes = nil
 	}
-	s.do(Log{fmt.Sprintf("destination %d route %d %s: %s", r.destination.id, r.id, state, why)})
+	s.do(Turned{r.destination.id, r.id, string(state), why})
 }
 
 // stepBreakers lets reset times run out, and notices silence before calls time out, by all that a route owes:
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -69,8 +69,8 @@
 			t.say("dismiss %d, retry after %.0f", a.Notice, a.RetryAfter)
 		case BreakOff:
 			t.say("break off %d", a.Notice)
-		case Log:
-			t.say("log %s", a.Text)
+		case Turned:
+			t.say("log %s", a)
 		case CallOff:
 			t.say("call off %d, trip %d", a.Notice, a.Trip)
 		case LetGo:
