--- a/cmd/chuteweir/commands.go
+++ b/cmd/chuteweir/commands.go
@@ -14,6 +14,7 @@
 	"text/tabwriter"
 	"time"
 
+	"chuteweir.example/chuteweir/internal/cli"
 	"chuteweir.example/chuteweir/internal/config"
 	"chuteweir.example/chuteweir/internal/ledger"
 	"github.com/spf13/cobra"
@@ -21,7 +22,7 @@
 
 // commands is the command line of a person or a script.
 func commands() *cobra.Command {
-	root := &cobra.Command{
+	root := cli.Prepare(&cobra.Command{
 		Use:   "chuteweir",
 		Short: "Delivers notices to many destinations, and keeps its decisions good when they fail",
 		Long: `chuteweir takes notices from clients over HTTP/1.1, keeps each until its client timeout, and brings it to its
@@ -31,9 +32,7 @@
 		Example: `  chuteweir try
   chuteweir config check sender.toml
   chuteweir serve sender.toml`,
-		SilenceUsage: true, SilenceErrors: true, Args: args(cobra.NoArgs), RunE: help,
-	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongUse{err} })
+	})
 	root.AddCommand(serveCommand(), configCommand(), ledgerCommand(), versionCommand())
 	for name, short := range map[string]string{
 		"try":     "Start a sender among stand-ins, run a scenario and tell how it went",
@@ -46,32 +45,20 @@
 	return root
 }
 
-func help(c *cobra.Command, _ []string) error { return c.Help() }
-
-// args makes a wrong number of arguments wrong use.
-func args(check cobra.PositionalArgs) cobra.PositionalArgs {
-	return func(c *cobra.Command, a []string) error {
-		if err := check(c, a); err != nil {
-			return wrongUse{err}
-		}
-		return nil
-	}
-}
-
 func serveCommand() *cobra.Command {
 	var state, format, level string
 	c := &cobra.Command{
-		Use: "serve FILE", Short: "Run a sender by a configuration file", Args: args(cobra.ExactArgs(1)),
+		Use: "serve FILE", Short: "Run a sender by a configuration file", Args: cli.Args(cobra.ExactArgs(1)),
 		Long: `serve runs a sender by a configuration in TOML (docs/configuration.md) or in the platform's JSON. SIGTERM lets it
 leave, SIGHUP makes it read the file again, SIGUSR1 prints its counters.`,
 		Example: `  chuteweir serve sender.toml
   chuteweir serve --log-format json --log-level debug sender.toml`,
 		RunE: func(_ *cobra.Command, a []string) error {
 			if format != "" && format != "text" && format != "json" {
-				return wrongUse{fmt.Errorf("--log-format %s: one of text, json", format)}
+				return cli.Misused("--log-format %s: one of text, json", format)
 			}
 			if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, level) {
-				return wrongUse{fmt.Errorf("--log-level %s: one of debug, info, warn, error", level)}
+				return cli.Misused("--log-level %s: one of debug, info, warn, error", level)
 			}
 			return serve(a[0], state, format, level)
 		},
@@ -84,9 +71,9 @@
 
 func configCommand() *cobra.Command {
 	group := &cobra.Command{Use: "config", Short: "Check, print or convert a configuration",
-		Args: args(cobra.NoArgs), RunE: help}
+		Args: cli.Args(cobra.NoArgs), RunE: cli.Help}
 	check := &cobra.Command{
-		Use: "check FILE...", Short: "List all that is wrong with configuration files", Args: args(cobra.MinimumNArgs(1)),
+		Use: "check FILE...", Short: "List all that is wrong with configuration files", Args: cli.Args(cobra.MinimumNArgs(1)),
 		Example: "  chuteweir config check sender.toml",
 		RunE: func(c *cobra.Command, a []string) error {
 			bad := 0
@@ -111,7 +98,7 @@
 		},
 	}
 	print := &cobra.Command{
-		Use: "print FILE", Short: "Print a configuration in TOML, each key with the value in force", Args: args(cobra.ExactArgs(1)),
+		Use: "print FILE", Short: "Print a configuration in TOML, each key with the value in force", Args: cli.Args(cobra.ExactArgs(1)),
 		Example: "  chuteweir config print sender.toml",
 		RunE: func(c *cobra.Command, a []string) error {
 			loaded, _, err := config.Load(a[0], "")
@@ -122,7 +109,7 @@
 		},
 	}
 	convert := &cobra.Command{
-		Use: "convert FILE", Short: "Convert TOML into the platform's JSON, and JSON into TOML", Args: args(cobra.ExactArgs(1)),
+		Use: "convert FILE", Short: "Convert TOML into the platform's JSON, and JSON into TOML", Args: cli.Args(cobra.ExactArgs(1)),
 		Long: `convert writes the other form to standard output. JSON has no place for the lasting folder and the log; TOML
 holds what a sender reads of the platform's settings and no more.`,
 		Example: "  chuteweir config convert config.json > sender.toml",
@@ -152,10 +139,10 @@
 
 func ledgerCommand() *cobra.Command {
 	group := &cobra.Command{Use: "ledger", Short: "Look at what a sender owes, without changing it",
-		Args: args(cobra.NoArgs), RunE: help}
+		Args: cli.Args(cobra.NoArgs), RunE: cli.Help}
 	var lines bool
 	show := &cobra.Command{
-		Use: "show FOLDER", Short: "List the notices that a sender owes", Args: args(cobra.ExactArgs(1)),
+		Use: "show FOLDER", Short: "List the notices that a sender owes", Args: cli.Args(cobra.ExactArgs(1)),
 		Long: `show reads the ledger in a sender's lasting folder, of a stopped sender or of one that runs, and changes
 nothing. "may have run" counts the trips whose call may have taken effect.`,
 		Example: "  chuteweir ledger show /var/lib/chuteweir\n  chuteweir ledger show --json /var/lib/chuteweir",
@@ -169,7 +156,7 @@
 	}
 	show.Flags().BoolVar(&lines, "json", false, "a JSON object for each notice, a line each")
 	verify := &cobra.Command{
-		Use: "verify FOLDER", Short: "Read a ledger to its end and tell what it holds", Args: args(cobra.ExactArgs(1)),
+		Use: "verify FOLDER", Short: "Read a ledger to its end and tell what it holds", Args: cli.Args(cobra.ExactArgs(1)),
 		Long: `verify reads the whole ledger. It fails if bytes at the end can't be read; while a sender runs, that may be a
 record being written just then, so look twice.`,
 		Example: "  chuteweir ledger verify /var/lib/chuteweir",
@@ -235,7 +222,7 @@
 
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Tell the version and the build", Args: args(cobra.NoArgs),
+		Use: "version", Short: "Tell the version and the build", Args: cli.Args(cobra.NoArgs),
 		Run: func(c *cobra.Command, _ []string) {
 			info, _ := debug.ReadBuildInfo()
 			revision, changed := "unknown", ""
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,169 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"chuteweir.example/chuteweir/rules"
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBuiltin(t *testing.T) {
+	for _, name := range Builtin() {
+		if s, err := Load(name); err != nil || s.Name != name || s.About == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Load("nothing.toml"); err == nil || !strings.Contains(err.Error(), "calm") {
+		t.Errorf("%v", err)
+	}
+}
+
+const small = `
+name = "small"
+length = "20s"
+[traffic]
+rate = "200/s"
+zipf = 1
+clumps = 0.2
+clump = 10
+[senders]
+count = 4
+[[grade]]
+name = "a"
+quoted = "1s"
+timeout = "4s"
+repeat = "reissuable"
+share = 3
+[[grade]]
+name = "b"
+quoted = "1s"
+timeout = "4s"
+repeat = "at-most-once"
+[[gateway]]
+name = "g"
+destinations = 10
+receivers = 2
+[[fault]]
+kind = "hang"
+at = "1s"
+part = 0.3
+[[fault]]
+kind = "hang"
+at = "1s"
+part = 0.1
+busiest = true
+[[fault]]
+kind = "kill"
+at = "1s"
+part = 0.5
+`
+
+// The same seed gives the same world, whatever is read of it; another gives another.
+func TestWorldFollowsFromSeed(t *testing.T) {
+	show := func(seed uint64) string {
+		s, faults := Read("small", []byte(small))
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		s.Seed = seed
+		w := Lay(s)
+		var b strings.Builder
+		for _, d := range w.Destinations {
+			fmt.Fprintf(&b, "%d %.3f %v %d\n", d.Number, d.Weight, d.Receivers, len(d.Faults))
+		}
+		fmt.Fprintln(&b, w.Struck[2])
+		arrivals := w.Arrivals()
+		for {
+			a, ok := arrivals.Next()
+			if !ok {
+				return b.String()
+			}
+			fmt.Fprintf(&b, "%+v\n", a)
+		}
+	}
+	if diff := cmp.Diff(show(1), show(1)); diff != "" {
+		t.Error(diff)
+	}
+	if show(1) == show(2) {
+		t.Error("two seeds give one world")
+	}
+}
+
+func TestArrivals(t *testing.T) {
+	for _, shape := range []string{"steady", "ramp", "peak"} {
+		s, _ := Read("small", []byte(small))
+		s.Traffic.Shape = shape
+		w := Lay(s)
+		count, grades, thirds, last := 0, [2]int{}, [3]int{}, rules.Millis(0)
+		to := map[int]int{}
+		for arrivals := w.Arrivals(); ; count++ {
+			a, ok := arrivals.Next()
+			if !ok {
+				break
+			}
+			if a.At < last {
+				t.Fatalf("%s: %v after %v", shape, a.At, last)
+			}
+			last = a.At
+			grades[a.Grade]++
+			to[a.Destination]++
+			thirds[min(int(a.At/w.Length*3), 2)]++
+		}
+		if math.Abs(float64(count)-4000) > 400 || math.Abs(float64(grades[0])/float64(count)-0.75) > 0.05 || len(to) != 10 {
+			t.Errorf("%s: %d notices, grades %v, to %v", shape, count, grades, to)
+		}
+		if shape == "ramp" && thirds[2] < 3*thirds[0] || shape == "peak" && thirds[1] < 2*thirds[0] {
+			t.Errorf("%s: thirds %v", shape, thirds)
+		}
+	}
+}
+
+func TestFaultTimes(t *testing.T) {
+	f := Fault{Kind: Flap, At: 1000, For: 2500, Each: 1000}
+	var b strings.Builder
+	for at := rules.Millis(0); at >= 0; at = f.Next(at) {
+		fmt.Fprintf(&b, "%v %v\n", at, f.Active(at))
+	}
+	if diff := cmp.Diff("0 false\n1000 true\n1500 false\n2000 true\n2500 false\n3000 true\n3500 false\n", b.String()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A scenario that contradicts itself is told with its lines.
+func TestTellsFaults(t *testing.T) {
+	bad := strings.NewReplacer(`kind = "kill"`, "kind = \"kill\"\ngroup = \"g\"", `at = "1s"
+part = 0.3`, `at = "30s"
+grade = "c"`).Replace(small)
+	_, faults := Read("small", []byte(bad))
+	want := `small:28: fault.at: is behind the last notice; right would be before 20s
+small:29: fault.grade: no [[grade]] has the name "c"; right would be one of a, b
+small:36: fault.kind: kill strikes no destinations; right would be no group and no grade`
+	if diff := cmp.Diff(want, faults.Error()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestPage(t *testing.T) {
+	const path = "../../docs/scenarios.md"
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const mark = "<!-- made by UPDATE=1 go test ./internal/scenario -->\n"
+	head, _, found := strings.Cut(string(text), mark)
+	if !found {
+		t.Fatal("no place for the table")
+	}
+	want := head + mark + "\n" + Table.Page()
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	} else if diff := cmp.Diff(want, string(text)); diff != "" {
+		t.Errorf("%s is out of date; UPDATE=1 go test ./internal/scenario\n%s", path, diff)
+	}
+}
--- /dev/null
+++ b/internal/standin/gateway.go
@@ -0,0 +1,695 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"chuteweir.example/chuteweir/internal/audit"
+	"chuteweir.example/chuteweir/internal/gateway"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"chuteweir.example/chuteweir/rules"
+)
+
+// Asked is a call that a receiver has read.
+type Asked struct {
+	ID, Mark, Receiver, Remote string
+	Path                       string
+	Body                       []byte
+	Gone                       <-chan struct{} // closed when the sender ends the connection
+}
+
+// Reply is what a script answers to a call.
+type Reply struct {
+	Status int
+	Fields []string // header lines
+	Body   string
+	Raw    string        // in place of all of these: these bytes
+	After  time.Duration // before the answer
+	Close  bool          // the connection ends behind it
+	Reset  bool          // it is reset, after Raw
+	Never  bool          // there is no answer
+	Ran    bool          // it took effect
+}
+
+// Gateways is all destinations of a run.
+type Gateways struct {
+	stage *Stage
+	// Script answers calls in place of the scenario's shapes, for tests.
+	Script func(*Asked) Reply
+
+	mu        sync.Mutex
+	dests     map[int]*dest
+	receivers map[string]*receiver
+}
+
+// dest is one destination.
+type dest struct {
+	*scenario.Destination
+	mu      sync.Mutex
+	core    *gateway.Gateway
+	draw    *rand.Rand
+	open    int          // connections
+	seen    map[int]bool // senders that saw a call fail or be refused in the present outage
+	struck  bool         // an outage is on
+	outages []scenario.Fault
+}
+
+// receiver is one of its receivers.
+type receiver struct {
+	id, address string
+	all         *Gateways
+	dest        *dest
+	mu          sync.Mutex
+	listener    *net.TCPListener
+	conns       map[net.Conn]bool
+	fillers     []net.Conn // connections that keep others from coming up
+	paused      chan struct{}
+	closed      bool
+}
+
+// NewGateways opens the receivers of a world.
+func NewGateways(s *Stage) (*Gateways, error) {
+	g := &Gateways{stage: s, dests: map[int]*dest{}, receivers: map[string]*receiver{}}
+	settings := s.World.Settings
+	back := gateway.Back{ColdFrom: settings.ColdFrom, Warm: settings.WarmWithin, Fall: settings.Fall, Multiple: settings.TipMultiple}
+	for _, d := range s.World.Destinations {
+		own := &dest{Destination: d, draw: scenario.Chance(s.World.Seed, scenario.StreamGateways+uint64(d.Number)), seen: map[int]bool{}}
+		own.core = gateway.New(d.Group.Shape, back, own.draw)
+		for _, f := range d.Faults {
+			if outage(f) {
+				own.outages = append(own.outages, f)
+			}
+		}
+		g.dests[d.Number] = own
+		for _, id := range d.Receivers {
+			if err := g.Open(id, d.Number); err != nil {
+				return nil, err
+			}
+		}
+		if len(own.outages) > 0 {
+			go g.watchOutages(own)
+		}
+	}
+	return g, nil
+}
+
+// outage tells whether a fault is an outage: down, silent, hung, shut, or most calls failing.
+func outage(f scenario.Fault) bool {
+	switch f.Kind {
+	case scenario.Refuse, scenario.Shut, scenario.Hang, scenario.Silent, scenario.NeverUp:
+		return true
+	case scenario.Errors, scenario.ResetBefore, scenario.ResetAfter:
+		return f.Share >= 0.5 && f.Grade == ""
+	}
+	return false
+}
+
+// watchOutages tells a destination's core when an outage ends.
+func (g *Gateways) watchOutages(d *dest) {
+	for at := rules.Millis(0); ; {
+		next := rules.Millis(-1)
+		for _, f := range d.outages {
+			if n := f.Next(at); n >= 0 && (next < 0 || n < next) {
+				next = n
+			}
+		}
+		if next < 0 || !g.stage.at(next) {
+			return
+		}
+		at = next
+		on := false
+		for _, f := range d.outages {
+			on = on || f.Active(at)
+			if f.Active(at) && (f.Kind == scenario.Refuse || f.Kind == scenario.Silent || f.Kind == scenario.NeverUp) {
+				// Who tried meanwhile can't be seen: all may have.
+				d.mu.Lock()
+				for sender := range g.stage.World.Senders {
+					d.seen[sender] = true
+				}
+				d.mu.Unlock()
+			}
+		}
+		d.mu.Lock()
+		if d.struck && !on {
+			d.core.Returned(at)
+		}
+		d.struck = on
+		d.mu.Unlock()
+	}
+}
+
+// Open begins a receiver of a destination under a new id.
+func (g *Gateways) Open(id string, destination int) error {
+	l, err := g.stage.Listen()
+	if err != nil {
+		return err
+	}
+	r := &receiver{id: id, address: l.Addr().String(), all: g, dest: g.dests[destination], listener: l.(*net.TCPListener),
+		conns: map[net.Conn]bool{}}
+	g.mu.Lock()
+	g.receivers[id] = r
+	g.mu.Unlock()
+	go r.accept(r.listener)
+	go r.followScript()
+	go func() { <-g.stage.done; r.shut() }()
+	return nil
+}
+
+// Gone ends a receiver for good.
+func (g *Gateways) Gone(id string) {
+	g.mu.Lock()
+	r := g.receivers[id]
+	delete(g.receivers, id)
+	g.mu.Unlock()
+	if r != nil {
+		r.shut()
+	}
+}
+
+// Address is where a receiver takes calls.
+func (g *Gateways) Address(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.receivers[id]; r != nil {
+		return r.address
+	}
+	return ""
+}
+
+func (r *receiver) shut() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.refuse()
+}
+
+// refuse closes the listener and resets all connections.
+func (r *receiver) refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener != nil {
+		r.listener.Close()
+		r.listener = nil
+	}
+	for c := range r.conns {
+		reset(c)
+	}
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// listen opens the same address again.
+func (r *receiver) listen() {
+	for range 100 {
+		r.mu.Lock()
+		if r.closed || r.listener != nil {
+			r.mu.Unlock()
+			return
+		}
+		l, err := net.Listen("tcp", r.address)
+		if err == nil {
+			r.listener = l.(*net.TCPListener)
+			go r.accept(r.listener)
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		if !r.all.stage.sleep(20 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// block keeps new connections from coming up: nobody accepts, and the kernel's queue is full.
+func (r *receiver) block() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil || r.paused != nil {
+		return
+	}
+	r.paused = make(chan struct{})
+	r.listener.SetDeadline(time.Unix(1, 0))
+	backlog(r.listener, 0)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", r.address, 50*time.Millisecond); err == nil {
+			r.fillers = append(r.fillers, c)
+		}
+	}
+}
+
+func (r *receiver) unblock() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paused == nil {
+		return
+	}
+	close(r.paused)
+	r.paused = nil
+	for _, c := range r.fillers {
+		c.Close()
+	}
+	r.fillers = nil
+	if r.listener != nil {
+		r.listener.SetDeadline(time.Time{})
+		backlog(r.listener, 4096)
+	}
+}
+
+// followScript opens, closes and blocks the receiver as the faults say.
+func (r *receiver) followScript() {
+	faults := r.dest.Faults
+	for at := rules.Millis(0); ; {
+		refused, blocked := false, false
+		for _, f := range faults {
+			switch f.Kind {
+			case scenario.Refuse, scenario.Flap:
+				refused = refused || f.Active(at)
+			case scenario.Silent, scenario.NeverUp:
+				blocked = blocked || f.Active(at)
+			}
+		}
+		if r.all.stage.Clock.Now() >= 0 {
+			if refused {
+				r.refuse()
+			} else {
+				r.listen()
+			}
+			if blocked {
+				r.block()
+			} else {
+				r.unblock()
+			}
+		}
+		next := rules.Millis(-1)
+		for _, f := range faults {
+			if n := f.Next(at); n >= 0 && (next < 0 || n < next) {
+				next = n
+			}
+		}
+		if next < 0 || !r.all.stage.at(next) {
+			return
+		}
+		at = next
+	}
+}
+
+func (r *receiver) accept(l *net.TCPListener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			r.mu.Lock()
+			paused := r.paused
+			mine := r.listener == l
+			r.mu.Unlock()
+			switch {
+			case !mine:
+				return
+			case paused != nil:
+				select {
+				case <-paused:
+				case <-r.all.stage.done:
+					return
+				}
+			case !r.all.stage.sleep(time.Millisecond):
+				return
+			}
+			continue
+		}
+		d := r.dest
+		d.mu.Lock()
+		full := d.Group.Shape.Connections > 0 && d.open >= d.Group.Shape.Connections
+		if !full {
+			d.open++
+		}
+		d.mu.Unlock()
+		r.mu.Lock()
+		late := r.closed || r.listener != l
+		if !late {
+			r.conns[c] = true
+		}
+		r.mu.Unlock()
+		if full || late {
+			reset(c)
+			if !full {
+				d.mu.Lock()
+				d.open--
+				d.mu.Unlock()
+			}
+			continue
+		}
+		go r.serve(c)
+	}
+}
+
+// read is a request as it came.
+type read struct {
+	first, last rules.Millis
+	request     *http.Request
+	body        []byte
+}
+
+// serve answers the calls of one connection.
+func (r *receiver) serve(c net.Conn) {
+	gone, requests := make(chan struct{}), make(chan read)
+	defer func() {
+		c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+		r.dest.mu.Lock()
+		r.dest.open--
+		r.dest.mu.Unlock()
+	}()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		defer close(gone)
+		r.receive(c, requests, ended)
+	}()
+	for {
+		select {
+		case q := <-requests:
+			if !r.answer(c, q, gone) {
+				return
+			}
+		case <-gone:
+			return
+		case <-r.all.stage.done:
+			return
+		}
+	}
+}
+
+// receive reads requests until the connection ends.
+func (r *receiver) receive(c net.Conn, requests chan<- read, ended <-chan struct{}) {
+	stage := r.all.stage
+	in := bufio.NewReaderSize(c, 4096)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		q := read{first: stage.Clock.Now()}
+		if r.hold(scenario.Silent) {
+			reset(c)
+			return
+		}
+		if _, struck := r.strike(scenario.ResetBefore, -1); struck {
+			stage.Record.Call(audit.Call{Receiver: r.id, Dest: r.dest.Number, First: q.first, Last: q.first, Unread: true,
+				Fault: scenario.ResetBefore})
+			reset(c)
+			return
+		}
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if q.body, err = io.ReadAll(request.Body); err != nil {
+			return
+		}
+		q.request, q.last = request, stage.Clock.Now()
+		select {
+		case requests <- q:
+		case <-ended:
+			return
+		}
+	}
+}
+
+// hold waits while a fault acts, and tells whether it did.
+func (r *receiver) hold(kind string) bool {
+	held := false
+	for {
+		f, on := r.active(kind)
+		if !on {
+			return held
+		}
+		held = true
+		if !r.all.stage.at(max(f.Next(r.all.stage.Clock.Now()), r.all.stage.Clock.Now()+1)) {
+			return true
+		}
+	}
+}
+
+func (r *receiver) active(kind string) (scenario.Fault, bool) {
+	now := r.all.stage.Clock.Now()
+	for _, f := range r.dest.Faults {
+		if f.Kind == kind && f.Active(now) {
+			return f, true
+		}
+	}
+	return scenario.Fault{}, false
+}
+
+// strike draws whether a fault strikes a call of a grade, -1 for any.
+func (r *receiver) strike(kind string, grade int) (scenario.Fault, bool) {
+	f, on := r.active(kind)
+	if !on {
+		return f, false
+	}
+	names := r.all.stage.World.Names.Grades
+	if f.Grade != "" && (grade < 0 || grade >= len(names) || names[grade] != f.Grade) {
+		return f, false
+	}
+	r.dest.mu.Lock()
+	defer r.dest.mu.Unlock()
+	return f, f.Share >= 1 || r.dest.draw.Float64() < f.Share
+}
+
+// fate is what happens to a call.
+type fate struct {
+	Reply
+	at     rules.Millis // when the answer is due
+	wait   rules.Millis
+	slow   bool // a byte a second
+	spoilt bool
+	fault  string
+	unseen bool // lost before it was looked at
+}
+
+// decide says what happens to a call.
+func (r *receiver) decide(now rules.Millis, sender, grade int) fate {
+	for _, kind := range []string{scenario.Shut, scenario.Hang, scenario.ResetAfter, scenario.Errors, scenario.Spoilt} {
+		if _, struck := r.strike(kind, grade); !struck {
+			continue
+		}
+		d := r.dest
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.struck {
+			d.seen[sender] = true
+		}
+		f := fate{at: now, fault: kind}
+		switch kind {
+		case scenario.Shut:
+			f.Status = 503
+		case scenario.Hang:
+			f.Never, f.Ran = true, true
+		case scenario.ResetAfter:
+			f.Reset, f.Ran = true, d.draw.Float64() < 0.5
+		case scenario.Errors:
+			f.Status, f.Ran = 500, d.draw.Float64() < 0.5
+		case scenario.Spoilt:
+			f.Raw, f.Status = spoil(d.draw)
+			f.Ran, f.spoilt = true, true
+		}
+		return f
+	}
+	part, slower := 1.0, 1.0
+	if f, on := r.active(scenario.LowLimit); on {
+		part = f.Size
+	}
+	if f, struck := r.strike(scenario.Slow, grade); struck {
+		slower = f.Size
+	}
+	_, dribbles := r.strike(scenario.Dribble, grade)
+	d := r.dest
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.core.Arrive(max(now, 0), sender, part, slower)
+	f := fate{at: v.Ends, slow: dribbles}
+	if dribbles {
+		f.fault = scenario.Dribble
+	}
+	switch {
+	case v.Down:
+		if v.Fell {
+			seen := map[int]bool{}
+			for s := range d.seen {
+				seen[s] = true
+			}
+			r.all.stage.Record.Fell(audit.Fall{Dest: d.Number, At: now, By: d.core.Pushed(), Seen: seen})
+		}
+		f.Reset, f.unseen, f.at, f.fault = true, true, now, "fallen over"
+	case v.Refused:
+		f.Status, f.wait, f.at = 503, v.Wait, now
+		if v.Wait > 0 {
+			f.Status = 429
+			f.Fields = append(f.Fields, "Retry-After: "+strconv.FormatFloat(float64(v.Wait)/1000, 'f', 3, 64))
+		}
+	default:
+		f.Status, f.Ran = 200, true
+	}
+	if left, limit, told := d.core.Report(max(now, 0), part); told && len(r.all.stage.World.Names.Report) == 2 {
+		names := r.all.stage.World.Names.Report
+		f.Fields = append(f.Fields, fmt.Sprintf("Server-Load: %s=%.3f,%s=%.3f", names[0], left, names[1], limit))
+	}
+	return f
+}
+
+// answer answers one call, and tells whether the connection goes on.
+func (r *receiver) answer(c net.Conn, q read, gone <-chan struct{}) bool {
+	stage := r.all.stage
+	id, mark := q.request.Header.Get("Request-Id"), q.request.Header.Get("Idempotency-Key")
+	hand, known := stage.Record.HandOf(id)
+	noted := audit.Call{ID: id, Receiver: r.id, Mark: mark, Dest: r.dest.Number, Apart: r.apart(), First: q.first, Last: q.last}
+	var f fate
+	switch {
+	case r.all.Script != nil:
+		f.Reply = r.all.Script(&Asked{ID: id, Mark: mark, Receiver: r.id, Remote: c.RemoteAddr().String(), Path: q.request.URL.Path,
+			Body: q.body, Gone: gone})
+		f.at = stage.Clock.Now() + rules.Millis(f.After)/1e6
+	case !known:
+		f = fate{Reply: Reply{Status: 400}, at: q.last}
+	default:
+		f = r.decide(q.last, hand.Sender, hand.Grade)
+	}
+	noted.Ran, noted.Fault, noted.Unread = f.Ran, f.fault, f.unseen
+	call := stage.Record.Call(noted)
+	closed := func() {
+		at := stage.Clock.Now()
+		stage.Record.Change(call, func(c *audit.Call) { c.Closed = at })
+	}
+	due := time.NewTimer(max(stage.Clock.Until(f.at), f.After))
+	defer due.Stop()
+	if f.Never {
+		due.Stop()
+	}
+	select {
+	case <-due.C:
+	case <-gone:
+		closed()
+		return false
+	case <-stage.done:
+		return false
+	}
+	if r.hold(scenario.Silent) {
+		closed()
+		reset(c)
+		return false
+	}
+	r.holdPause()
+	if f.Raw == "" && !f.Reset {
+		f.Raw = compose(f.Reply)
+	}
+	if f.Raw != "" {
+		if !r.write(c, call, f, gone) {
+			closed()
+			return false
+		}
+	}
+	switch {
+	case f.Reset:
+		closed()
+		reset(c)
+		return false
+	case f.spoilt:
+		// The connection stays open and is of no further use.
+		select {
+		case <-gone:
+		case <-stage.done:
+		}
+		return false
+	}
+	return !f.Close
+}
+
+// holdPause waits while nothing moves.
+func (r *receiver) holdPause() { r.hold(scenario.Pauses) }
+
+func (r *receiver) apart() bool {
+	for i, name := range r.all.stage.World.Names.Kinds {
+		if name == r.dest.Group.Kind {
+			return r.all.stage.World.Settings.Kinds[i].Apart
+		}
+	}
+	return false
+}
+
+func compose(r Reply) string {
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n", r.Status, http.StatusText(r.Status))
+	for _, field := range r.Fields {
+		text += field + "\r\n"
+	}
+	if r.Close {
+		text += "Connection: close\r\n"
+	}
+	return text + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
+}
+
+// write writes an answer and notes when its first line was out.
+func (r *receiver) write(c net.Conn, call *audit.Call, f fate, gone <-chan struct{}) bool {
+	stage := r.all.stage
+	note := func() {
+		at := stage.Clock.Now()
+		stage.Record.Change(call, func(c *audit.Call) {
+			c.Replied, c.Status, c.Wait, c.Spoilt = at, f.Status, f.wait, f.spoilt
+			c.Delivered = f.Status == 200
+		})
+	}
+	if !f.slow {
+		note()
+		_, err := io.WriteString(c, f.Raw)
+		return err == nil
+	}
+	line := 0
+	for line < len(f.Raw) && f.Raw[line] != '\n' {
+		line++
+	}
+	for i := range len(f.Raw) {
+		if i == line {
+			note()
+		}
+		if _, err := c.Write([]byte{f.Raw[i]}); err != nil {
+			return false
+		}
+		select {
+		case <-time.After(time.Second):
+		case <-gone:
+			return false
+		case <-stage.done:
+			return false
+		}
+	}
+	return true
+}
+
+// spoil makes an answer that can't be used, with the status that its first line still tells whole, or 0.
+func spoil(draw *rand.Rand) (raw string, status int) {
+	switch draw.IntN(7) {
+	case 0:
+		return "\x00\xff\x13 no HTTP at all\r\n\r\n", 0
+	case 1:
+		return "HTTP/1.1 200 OK\r\nContent-Length: 12, 13\r\n\r\n", 200
+	case 2:
+		return "HTTP/1.1 500 Oops\r\nContent-Length: -5\r\n\r\n", 500
+	case 3:
+		return "HTTP/1.1 503 Full\r\nA: " + string(make([]byte, 9000)), 503
+	case 4:
+		return "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmuch", 200
+	case 5:
+		return "HTTP/1.1 4", 0
+	}
+	return "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 503
+}
--- /dev/null
+++ b/internal/standin/stage.go
@@ -0,0 +1,131 @@
+// Package standin holds stand-ins for all that a sender speaks with: gateways with their receivers, the platform and
+// clients, on loopback sockets and by the protocol as docs/sender.md states it. They play a scenario and note what
+// they see in an audit.Record.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"chuteweir.example/chuteweir/internal/audit"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"chuteweir.example/chuteweir/rules"
+)
+
+// Clock tells the scenario's time, which begins with the first notice.
+type Clock struct{ began atomic.Int64 }
+
+// Begin starts the scenario's time now.
+func (c *Clock) Begin() { c.began.Store(time.Now().UnixNano()) }
+
+// Now is the time in the scenario; below 0 before it begins.
+func (c *Clock) Now() rules.Millis {
+	began := c.began.Load()
+	if began == 0 {
+		return -1
+	}
+	return rules.Millis(time.Now().UnixNano()-began) / 1e6
+}
+
+// Until is how long it takes from now on to a time in the scenario.
+func (c *Clock) Until(at rules.Millis) time.Duration {
+	return time.Duration((at - c.Now()) * rules.Millis(time.Millisecond))
+}
+
+func span(m rules.Millis) time.Duration { return time.Duration(m * rules.Millis(time.Millisecond)) }
+
+// Stage is what all stand-ins of one run share.
+type Stage struct {
+	World  *scenario.World
+	Clock  *Clock
+	Record *audit.Record
+	done   chan struct{}
+	once   sync.Once
+	net    byte // the run's own loopback addresses: 127.net.sub.host
+	sub    byte
+	next   atomic.Int64
+}
+
+// NewStage prepares a run of a world.
+func NewStage(w *scenario.World) *Stage {
+	return &Stage{World: w, Clock: &Clock{}, Record: audit.NewRecord(), done: make(chan struct{}),
+		net: byte(20 + rand.IntN(200)), sub: byte(1 + rand.IntN(250))}
+}
+
+// Close ends all stand-ins.
+func (s *Stage) Close() { s.once.Do(func() { close(s.done) }) }
+
+// sleep waits, and tells whether the run goes on.
+func (s *Stage) sleep(d time.Duration) bool {
+	if d <= 0 {
+		select {
+		case <-s.done:
+			return false
+		default:
+			return true
+		}
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// at waits for a time in the scenario.
+func (s *Stage) at(when rules.Millis) bool {
+	for s.Clock.Now() < when {
+		wait := s.Clock.Until(when)
+		if s.Clock.Now() < 0 || wait > 20*time.Millisecond {
+			wait = min(max(wait/2, time.Millisecond), 20*time.Millisecond)
+		}
+		if !s.sleep(wait) {
+			return false
+		}
+	}
+	return s.sleep(0)
+}
+
+// Listen listens on a fresh loopback address of the run's own. Its port is below those that the kernel hands to outgoing
+// connections, so that it can be closed and opened again.
+func (s *Stage) Listen() (net.Listener, error) {
+	var last error
+	for range 200 {
+		l, err := net.Listen("tcp", s.Free())
+		if err == nil {
+			return l, nil
+		}
+		if last = err; !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("listening on loopback: %w", last)
+}
+
+// Free is an address that this run has not used yet.
+func (s *Stage) Free() string {
+	n := s.next.Add(1) - 1
+	return fmt.Sprintf("127.%d.%d.%d:%d", s.net, s.sub, 1+n%250, 7000+n/250)
+}
+
+// Ended tells whether the run is over.
+func (s *Stage) Ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// At waits for a time in the scenario and tells whether the run goes on.
+func (s *Stage) At(when rules.Millis) bool { return s.at(when) }
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,269 @@
+// Package trial plays a scenario against real sender processes among stand-ins on loopback sockets, has the record
+// audited, and sums up how it went.
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"chuteweir.example/chuteweir/internal/audit"
+	"chuteweir.example/chuteweir/internal/config"
+	"chuteweir.example/chuteweir/internal/directory"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"chuteweir.example/chuteweir/internal/standin"
+	"chuteweir.example/chuteweir/rules"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Options is what to play, and against what.
+type Options struct {
+	Scenario *scenario.Scenario
+	Start    Start
+	Keep     string         // folder for configurations, ledgers and logs; empty: none are kept
+	Progress func(Progress) // told a few times a second
+	Prepare  func(*standin.Stage, *standin.Gateways, *standin.Platform)
+}
+
+// Progress is how far a run has come.
+type Progress struct {
+	At, Length rules.Millis
+	Offered    int
+	Open       int // taken on and not over
+}
+
+// Run plays a scenario. An error means that it could not be played; what went wrong in it is in the result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	w := scenario.Lay(o.Scenario)
+	folder := o.Keep
+	if folder == "" {
+		var err error
+		if folder, err = os.MkdirTemp("", "chuteweir-try"); err != nil {
+			return nil, fmt.Errorf("making a folder for the run: %w", err)
+		}
+		defer os.RemoveAll(folder)
+	}
+	stage := standin.NewStage(w)
+	defer stage.Close()
+	gateways, err := standin.NewGateways(stage)
+	if err != nil {
+		return nil, err
+	}
+	platform, err := standin.NewPlatform(stage, gateways, w.Senders)
+	if err != nil {
+		return nil, err
+	}
+	if o.Prepare != nil {
+		o.Prepare(stage, gateways, platform)
+	}
+	t := &trial{Options: o, stage: stage, platform: platform}
+	defer t.killAll()
+	var addresses []string
+	for i := range w.Senders {
+		c := config.Config{Name: fmt.Sprintf("n%d", i), Listen: stage.Free(), Discovery: platform.Address(i),
+			Seed: scenario.Chance(w.Seed, 1<<42+uint64(i)).Uint64(), Machine: w.Machine, Settings: w.Settings, Names: w.Names}
+		s, err := newSender(i, stage, o.Start, c, filepath.Join(folder, c.Name))
+		if err != nil {
+			return nil, err
+		}
+		t.senders = append(t.senders, s)
+		addresses = append(addresses, c.Listen)
+	}
+	for _, s := range t.senders {
+		if err := s.launch(platform.List()); err != nil {
+			return nil, err
+		}
+	}
+	t.clients = standin.NewClients(stage, addresses)
+	platform.Ended = func(_ int, e directory.End) { t.clients.Ended(e) }
+	answers := hdrhistogram.New(1, 120_000_000, 3)
+	var mu sync.Mutex
+	t.clients.Answer = func(status int, took rules.Millis) {
+		mu.Lock()
+		defer mu.Unlock()
+		if status > 0 {
+			answers.RecordValue(max(int64(took*1000), 1))
+		}
+	}
+	stop := context.AfterFunc(ctx, stage.Close)
+	defer stop()
+	var before time.Duration
+	for _, s := range t.senders {
+		before += s.used()
+	}
+	began := time.Now()
+	stage.Clock.Begin()
+	watched := make(chan struct{})
+	go func() { t.watch(); close(watched) }()
+	var scripts sync.WaitGroup
+	for i, f := range w.Faults {
+		for _, n := range w.Struck[i] {
+			scripts.Add(1)
+			go func() { defer scripts.Done(); t.strike(t.senders[n], f) }()
+		}
+	}
+	t.clients.Run()
+	handed := time.Since(began)
+	scripts.Wait()
+	for until := w.Length + w.Settle; stage.Clock.Now() < until && stage.Record.Open() > 0 && ctx.Err() == nil; {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("playing %s: %w", w.Name, ctx.Err())
+	}
+	var used time.Duration
+	for _, s := range t.senders {
+		s.sample()
+		used += s.used()
+	}
+	t.clients.Quit()
+	var leaving sync.WaitGroup
+	for _, s := range t.senders {
+		leaving.Add(1)
+		go func() {
+			defer leaving.Done()
+			if err := s.leave(); err != nil {
+				t.fault(err)
+			}
+		}()
+	}
+	leaving.Wait()
+	until := stage.Clock.Now()
+	stage.Close()
+	<-watched
+	mu.Lock()
+	defer mu.Unlock()
+	return t.result(answers, handed, used-before, until), nil
+}
+
+type trial struct {
+	Options
+	stage    *standin.Stage
+	platform *standin.Platform
+	clients  *standin.Clients
+	senders  []*Sender
+	mu       sync.Mutex
+	faults   []error
+	held     []Point
+}
+
+// Point is how much was held at a time.
+type Point struct {
+	At   rules.Millis `json:"at"`
+	Open int          `json:"open"`
+}
+
+func (t *trial) fault(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = append(t.faults, err)
+}
+
+// killAll is for runs that are broken off.
+func (t *trial) killAll() {
+	for _, s := range t.senders {
+		if s.command == nil {
+			continue
+		}
+		select {
+		case <-s.exited:
+		default:
+			s.signal(syscall.SIGKILL)
+			<-s.exited
+		}
+	}
+}
+
+// watch samples what the senders take, and tells the progress.
+func (t *trial) watch() {
+	for {
+		now := t.stage.Clock.Now()
+		open := t.stage.Record.Open()
+		t.mu.Lock()
+		t.held = append(t.held, Point{now, open})
+		t.mu.Unlock()
+		for _, s := range t.senders {
+			s.sample()
+		}
+		if t.Progress != nil {
+			t.Progress(Progress{now, t.stage.World.Length, int(t.clients.Offered.Load()), open})
+		}
+		deadline := time.Now().Add(250 * time.Millisecond)
+		for time.Now().Before(deadline) {
+			if t.stage.Ended() {
+				return
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+	}
+}
+
+// strike plays a fault of a sender.
+func (t *trial) strike(s *Sender, f scenario.Fault) {
+	if !t.stage.At(f.At) {
+		return
+	}
+	switch f.Kind {
+	case scenario.Kill, scenario.Stop:
+		t.clients.Dead(s.number)
+		if f.Kind == scenario.Kill {
+			s.kill()
+		} else if err := s.leave(); err != nil {
+			t.fault(err)
+		}
+		if !t.stage.At(f.Until()) {
+			return
+		}
+		if err := s.launch(t.platform.List()); err != nil {
+			t.fault(err)
+			return
+		}
+		t.clients.Back(s.number)
+	case scenario.Freeze:
+		s.life("frozen")
+		s.signal(syscall.SIGSTOP)
+		t.stage.At(f.Until())
+		s.signal(syscall.SIGCONT)
+		s.life("going on")
+	case scenario.Reload:
+		if err := os.WriteFile(s.path, []byte(`{"listen": "127.0.0.1:`), 0o600); err != nil {
+			t.fault(err)
+		}
+		s.signal(syscall.SIGHUP)
+		t.stage.At(f.Until())
+		if err := t.platform.Listen(s.number, ""); err != nil {
+			t.fault(err)
+		}
+		s.config.Discovery = t.platform.Address(s.number)
+		if err := s.configure(); err != nil {
+			t.fault(err)
+		}
+		s.signal(syscall.SIGHUP)
+	}
+}
+
+// Breaches is what the auditor found, with the senders' crashes.
+func (t *trial) breaches(until rules.Millis) []audit.Breach {
+	found := t.stage.Record.Check(t.stage.World.Settings, audit.Usual, until)
+	for _, s := range t.senders {
+		s.mu.Lock()
+		for _, crash := range s.crashes {
+			found = append(found, audit.Breach{Rule: audit.Other, What: crash})
+		}
+		s.mu.Unlock()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, err := range t.faults {
+		found = append(found, audit.Breach{Rule: audit.Other, What: err.Error()})
+	}
+	if n := t.clients.BadOpen.Load(); n > 0 {
+		found = append(found, audit.Breach{Rule: audit.Other,
+			What: fmt.Sprintf("%d of %d bad clients got neither an error nor a close in time", n, t.clients.Bad.Load())})
+	}
+	return found
+}
