--- a/cmd/chuteweir/main_test.go
+++ b/cmd/chuteweir/main_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"encoding/json"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,11 +18,14 @@
 	"testing"
 	"time"
 
+	"chuteweir.example/chuteweir/internal/config"
+	"chuteweir.example/chuteweir/internal/directory"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"chuteweir.example/chuteweir/internal/standin"
 	"github.com/google/go-cmp/cmp"
 )
 
-// These tests build the program, start it and speak to it over sockets. The platform and the receivers are
-// stand-ins of the tests' own.
+// These tests build the program, start it and speak to it over sockets, with stand-ins for platform and receivers.
 
 var program string
 
@@ -32,7 +35,11 @@
 		panic(err)
 	}
 	program = filepath.Join(folder, "chuteweir")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+	build := append([]string{"build", "-o", program}, buildFlags...)
+	if os.Getenv("GOCOVERDIR") != "" {
+		build = append(build, "-cover", "-coverpkg=./../...")
+	}
+	if out, err := exec.Command("go", append(build, ".")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
@@ -40,50 +47,105 @@
 	os.Exit(code)
 }
 
-const madeUp = `{"classes": [
- {"name": "note", "aim": 3000000, "deadline": 12000000, "worth": 1, "late_worth": 0.5, "repeat": "free"},
- {"name": "order", "aim": 3000000, "deadline": 12000000, "worth": 3, "late_worth": 0.5, "repeat": "single_shot"}],
- "kinds": ["shop"], "zones": ["here"], "realms": [{"name": "acme", "quota_per_s": 50}], "discovery": "automatic",
- "group_size": 1, "goal": {"whole": 0.5, "worst_class": 0.2}, "family_info": {"loses_worth": "even", "slots": 8},
- "limits": {"cancel": true, "conn_idle": 10000000, "connect_timeout": 500000, "open_cap": 50, "send_cap": 4,
- "retry_after": true, "max_retry_after": 3000000},
- "obligations": {"cold_from": 0.2, "fall": 2000000, "tip_multiple": 2, "warm_within": 10000000},
- "over_share_worth": 0.2, "reporting": {"fields": ["x0", "x1"], "how": "piggyback"}, "weight_source": "nominal", "tick": 5000}`
-
-const machine = `{"cores": 1, "memory_mb": 192, "sockets": 1024, "disk_mb": 1}`
-
-// world is a platform and receivers, and what is seen of the sender under test.
+const madeUp = `
+name = "made up"
+[machine]
+memory = "192MiB"
+sockets = 1024
+disk = "1MB"
+[sending]
+slots = 8
+hold = 50
+trips = 4
+idle_kept = "10s"
+connect_time = "500ms"
+listed_rates = "nominal"
+[goal]
+whole = 0.5
+worst_grade = 0.2
+[return]
+multiple = 2
+[[grade]]
+name = "note"
+quoted = "3s"
+timeout = "12s"
+repeat = "reissuable"
+[[grade]]
+name = "order"
+quoted = "3s"
+timeout = "12s"
+credit = 3
+repeat = "at-most-once"
+[[portfolio]]
+name = "acme"
+quota = "50/s"
+[[kind]]
+name = "shop"
+[[zone]]
+name = "here"
+[[gateway]] # destination 1
+name = "s"
+kind = "shop"
+limit = "20/s"
+[[gateway]] # destination 2, whose only receiver drains
+name = "t"
+`
+
+// page is text that several goroutines may write.
+type page struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (p *page) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.Write(b)
+}
+
+func (p *page) String() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.String()
+}
+
+// world is stand-ins, and what is seen of the sender under test.
 type world struct {
 	t        *testing.T
-	mu       sync.Mutex
-	trace    []string
-	list     string // what discovery answers
-	revision int
-	changed  chan struct{}
-	takes    bool   // whether the platform takes notices of ends
-	rejects  string // what it can't read among them
-	answer   func(w http.ResponseWriter, r *http.Request, id string)
+	stage    *standin.Stage
+	gateways *standin.Gateways
+	platform *standin.Platform
+
+	mu      sync.Mutex
+	trace   []string
+	takes   bool   // whether the platform takes notices of ends
+	rejects string // what it can't read among them
+	garbage string // what it tells in place of the list
+	answer  func(*standin.Asked) standin.Reply
 
-	platform, receiver, listen     string
-	state, settings, machine, path string
-	sender                         *exec.Cmd
-	log                            *strings.Builder
+	listen, state, path string
+	config              config.Config
+	sender              *exec.Cmd
+	log                 *page
 }
 
 // begin starts a sender with the made-up settings and limits, some words of them replaced.
 func begin(t *testing.T, replaced ...string) *world {
-	w := &world{t: t, takes: true, changed: make(chan struct{}), state: t.TempDir(),
-		path:     filepath.Join(t.TempDir(), "config.json"),
-		settings: strings.NewReplacer(replaced...).Replace(madeUp),
-		machine:  strings.NewReplacer(replaced...).Replace(machine),
-		answer:   func(http.ResponseWriter, *http.Request, string) {}}
-	w.platform = w.serve(w.speak)
-	w.receiver = w.serve(w.receive("receiver"))
-	w.list = w.members("s-1", w.receiver)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, faults := scenario.Read("made up", []byte(strings.NewReplacer(replaced...).Replace(madeUp)))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	w := &world{t: t, takes: true, state: t.TempDir(), path: filepath.Join(t.TempDir(), "config.json"),
+		stage:  standin.NewStage(scenario.Lay(s)),
+		answer: func(*standin.Asked) standin.Reply { return standin.Reply{Status: 200} }}
+	t.Cleanup(w.stage.Close)
+	var err error
+	w.gateways, err = standin.NewGateways(w.stage)
 	w.must(err)
-	w.listen = l.Addr().String()
-	l.Close()
+	w.gateways.Script = w.receive
+	w.platform = w.newPlatform("platform")
+	w.listen = w.stage.Free()
+	w.config = config.Config{Name: "n0", Listen: w.listen, Seed: 0x8c1f30d27a5be964, Machine: s.Machine, Settings: s.Settings, Names: s.Names}
 	t.Cleanup(w.kill)
 	w.start()
 	return w
@@ -96,20 +158,44 @@
 	}
 }
 
-func (w *world) serve(h http.HandlerFunc) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newPlatform opens a platform that is heard under a name.
+func (w *world) newPlatform(name string) *standin.Platform {
+	p, err := standin.NewPlatform(w.stage, w.gateways, 1)
 	w.must(err)
-	server := &http.Server{Handler: h}
-	go server.Serve(l)
-	w.t.Cleanup(func() { server.Close() })
-	return l.Addr().String()
+	p.Answer = func(_ int, out http.ResponseWriter, r *http.Request, body []byte) bool {
+		w.mu.Lock()
+		takes, rejects, garbage := w.takes || name != "platform", w.rejects, w.garbage
+		w.mu.Unlock()
+		switch {
+		case r.Method == "GET" && garbage != "":
+			time.Sleep(20 * time.Millisecond)
+			io.WriteString(out, garbage)
+			return true
+		case r.Method == "GET":
+			return false
+		case rejects != "" && strings.Contains(string(body), rejects):
+			out.WriteHeader(400)
+			return true
+		}
+		w.say("%s: %s", name, strings.TrimSpace(string(body)))
+		if !takes {
+			out.WriteHeader(500)
+		}
+		return !takes
+	}
+	p.Change(w.member("t-2-1", 2, "draining"))
+	return p
 }
 
-func (w *world) members(id, address string) string {
-	w.revision++
-	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[{"id":%q,"host_port":%q,"locality":"here",
-		"flavor":"shop","cell":1,"phase":"ready","size":20,"up_since_ms":0},
-		{"id":"s-9","host_port":"127.0.0.1:1","cell":9,"phase":"draining"}]}`, w.revision, id, address)
+func (w *world) member(id string, destination int, phase string) directory.Member {
+	return directory.Member{ID: id, HostPort: w.gateways.Address(id), Locality: "here", Flavor: "shop", Cell: int64(destination),
+		Phase: phase, Size: 20}
+}
+
+// replace lists another receiver of destination 1 in the first one's place.
+func (w *world) replace(p *standin.Platform) {
+	w.must(w.gateways.Open("other", 1))
+	p.Change(w.member("s-1-1", 1, "gone"), w.member("other", 1, "ready"))
 }
 
 func (w *world) say(format string, args ...any) {
@@ -118,83 +204,62 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-// relist changes what discovery tells.
-func (w *world) relist(list string) {
+// heard is the trace so far.
+func (w *world) heard() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.list = list
-	close(w.changed)
-	w.changed = make(chan struct{})
+	return slices.Clone(w.trace)
 }
 
-// speak is the platform.
-func (w *world) speak(out http.ResponseWriter, r *http.Request) {
-	if r.Method == "POST" {
-		lines, _ := io.ReadAll(r.Body)
-		if w.rejects != "" && strings.Contains(string(lines), w.rejects) {
-			out.WriteHeader(400)
-			return
-		}
-		w.say("platform: %s", strings.TrimSpace(string(lines)))
-		if w.mu.Lock(); w.takes {
-			out.WriteHeader(204)
-		} else {
-			out.WriteHeader(500)
-		}
-		w.mu.Unlock()
-		return
-	}
+// hear puts another trace in its place.
+func (w *world) hear(trace []string) {
 	w.mu.Lock()
-	list, changed := w.list, w.changed
-	if r.URL.Query().Get("from") == fmt.Sprint(w.revision) {
-		w.mu.Unlock()
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-		}
-		w.mu.Lock()
-		list = w.list
-	}
-	w.mu.Unlock()
-	io.WriteString(out, list)
+	defer w.mu.Unlock()
+	w.trace = trace
 }
 
-func (w *world) receive(name string) http.HandlerFunc {
-	return func(out http.ResponseWriter, r *http.Request) {
-		body, _ := io.ReadAll(r.Body)
-		id := r.Header.Get("Request-Id")
-		w.say("%s: %s %s %s %q%s", name, r.Method, r.URL, id, body, r.Header.Get("Idempotency-Key"))
-		w.mu.Lock()
-		answer := w.answer
-		w.mu.Unlock()
-		answer(out, r, id)
-	}
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
 }
 
-// answers says how receivers answer from now on.
-func (w *world) answers(f func(out http.ResponseWriter, r *http.Request, id string)) {
+// receive is the receivers.
+func (w *world) receive(a *standin.Asked) standin.Reply {
+	name := "receiver"
+	if a.Receiver == "other" {
+		name = "other"
+	}
+	w.say("%s: POST %s %s %q%s", name, a.Path, a.ID, a.Body, a.Mark)
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.answer = f
+	answer := w.answer
+	w.mu.Unlock()
+	return answer(a)
 }
 
+// answers says how receivers answer from now on.
+func (w *world) answers(f func(*standin.Asked) standin.Reply) { w.set(func() { w.answer = f }) }
+
+// fine is what receivers answer when all is well.
+func fine(*standin.Asked) standin.Reply { return standin.Reply{Status: 200} }
+
 // configure writes the sender's configuration.
 func (w *world) configure() {
-	config, err := json.Marshal(map[string]any{"name": "n0", "listen": w.listen, "discovery": w.platform,
-		"seed": "8c1f30d27a5be964", "limits": json.RawMessage(w.machine),
-		"known": json.RawMessage(w.list), "settings": json.RawMessage(w.settings)})
+	w.config.Discovery, w.config.Known = w.platform.Address(0), w.platform.List()
+	text, err := w.config.Platform()
 	w.must(err)
-	w.must(os.WriteFile(w.path, config, 0o600))
+	w.must(os.WriteFile(w.path, text, 0o600))
 }
 
 func (w *world) start() {
+	w.t.Helper()
 	w.configure()
-	w.log = &strings.Builder{}
+	w.log = &page{}
 	w.sender = exec.Command(program)
 	w.sender.Env = append(os.Environ(), "PROXY_CONFIG="+w.path, "PROXY_STATE="+w.state)
 	w.sender.Stdout, w.sender.Stderr = w.log, w.log
 	w.must(w.sender.Start())
-	for range 200 {
+	for range 500 {
 		if out, err := http.Get("http://" + w.listen + "/up"); err == nil {
 			out.Body.Close()
 			return
@@ -266,7 +331,7 @@
 		text, _ := io.ReadAll(page.Body)
 		w.t.Logf("counters: %s", text)
 	}
-	w.t.Fatalf("%d of %d lines with %q in\n%s\n%s", seen, count, with, strings.Join(w.trace, "\n"), w.log)
+	w.t.Fatalf("%d of %d lines with %q in\n%s\n%s", seen, count, with, strings.Join(w.heard(), "\n"), w.log)
 }
 
 // check compares the trace, sorted by who speaks: what is said on different connections has no order.
@@ -306,22 +371,17 @@
 	w.hand("note", "n-1", 12000, 1)
 	w.await(1, "receiver")
 	tries := 0
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
+	w.answers(func(*standin.Asked) standin.Reply {
 		tries++
 		switch tries {
 		case 1:
-			out.WriteHeader(500)
+			return standin.Reply{Status: 500}
 		case 2: // the connection ends after the call: it may have run
-			c, _, _ := out.(http.Hijacker).Hijack()
-			c.Close()
+			return standin.Reply{Reset: true}
 		case 3: // an answer to the close, with a report
-			c, _, _ := out.(http.Hijacker).Hijack()
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Load: x0=0.5,x1=25\r\n\r\nfine")
-			c.Close()
-		default: // chunked
-			out.(http.Flusher).Flush()
-			io.WriteString(out, "fine")
+			return standin.Reply{Raw: "HTTP/1.1 200 OK\r\nServer-Load: x0=0.5,x1=25\r\n\r\nfine", Close: true}
 		}
+		return standin.Reply{Raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"}
 	})
 	w.hand("note", "n-2", 12000, 1)
 	w.await(4, "receiver")
@@ -344,7 +404,7 @@
 
 // What a receiver may answer, one after the other to the same notice, and what each counts as.
 func TestOutcomes(t *testing.T) {
-	w := begin(t, `"send_cap": 4`, `"send_cap": 12`)
+	w := begin(t, `trips = 4`, `trips = 12`)
 	answers := []string{
 		"HTTP/1.1 503 Busy\r\nX-Line-Busy: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 504 Used up\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
@@ -353,16 +413,15 @@
 		"no HTTP at all\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
 	}
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
-		c, _, _ := out.(http.Hijacker).Hijack()
-		io.WriteString(c, answers[0])
+	w.answers(func(*standin.Asked) standin.Reply {
+		raw := answers[0]
 		answers = answers[1:]
-		c.Close()
+		return standin.Reply{Raw: raw, Close: true}
 	})
 	w.hand("note", "n-1", 12000, 1)
 	w.await(6, "receiver")
 	w.count()
-	w.trace = w.trace[len(w.trace)-1:]
+	w.hear(w.heard()[len(w.heard())-1:])
 	w.check("taken 1 refused 0 dismissed 0 trips 6 handled 1 full 2 errored 0 lost 1 unmet 0 unsent 2")
 	w.leave()
 }
@@ -370,21 +429,21 @@
 // Whatever bad clients send, they get an error or a close in time, and nothing of theirs is taken on.
 func TestTurnsAway(t *testing.T) {
 	w := begin(t)
-	fine := func(more string) string { return post("note", "a", 12000, 1, "", more) }
+	good := func(more string) string { return post("note", "a", 12000, 1, "", more) }
 	for what, text := range map[string]string{
 		"1 unknown grade":   post("x", "a", 12000, 1, ""),
-		"2 no destination":  strings.Replace(fine(""), "dest=1", "dest=", 1),
+		"2 no destination":  strings.Replace(good(""), "dest=1", "dest=", 1),
 		"2 unknown":         post("note", "a", 12000, 70000, ""),
 		"3 no id":           post("note", "", 12000, 1, ""),
 		"3 odd id":          post("note", "\xe9\xff", 12000, 1, ""),
-		"4 no time":         strings.Replace(fine(""), "12000", "soon", 1),
+		"4 no time":         strings.Replace(good(""), "12000", "soon", 1),
 		"4 negative time":   post("note", "a", -1, 1, ""),
-		"5 huge body":       fine("Content-Length: 99999999\r\n"),
-		"5 huge length":     strings.Replace(fine(""), "Length: 0", "Length: 99999999", 1),
-		"5 negative length": strings.Replace(fine(""), "Length: 0", "Length: -1", 1),
-		"5 two lengths":     fine("Content-Length: 4\r\n"),
-		"5 hidden request":  fine("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n" + fine(""),
-		"5 odd encoding":    strings.Replace(fine(""), "Content-Length: 0", "Transfer-Encoding: xchunked", 1),
+		"5 huge body":       good("Content-Length: 99999999\r\n"),
+		"5 huge length":     strings.Replace(good(""), "Length: 0", "Length: 99999999", 1),
+		"5 negative length": strings.Replace(good(""), "Length: 0", "Length: -1", 1),
+		"5 two lengths":     good("Content-Length: 4\r\n"),
+		"5 hidden request":  good("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n" + good(""),
+		"5 odd encoding":    strings.Replace(good(""), "Content-Length: 0", "Transfer-Encoding: xchunked", 1),
 		"6 huge head":       "GET /up HTTP/1.1\r\nA: " + strings.Repeat("a", 20_000) + "\r\n\r\n",
 		"7 nonsense":        "\x16\x03\x01 hello\r\n\r\n",
 		"7 many at once":    strings.Repeat(post("x", "a", 12000, 1, ""), 300),
@@ -402,12 +461,12 @@
 			t.Errorf("%s: after %v", what, time.Since(began))
 		}
 	}
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) { time.Sleep(300 * time.Millisecond) })
+	w.answers(func(*standin.Asked) standin.Reply { return standin.Reply{Status: 200, After: 300 * time.Millisecond} })
 	w.say("d first: %s", w.speakRaw(post("note", "same", 12000, 1, "")))
 	w.say("d its id again: %s", w.speakRaw(post("note", "same", 12000, 1, "")))
 	time.Sleep(500 * time.Millisecond)
 	w.say("d its id later: %s", w.speakRaw(post("note", "same", 12000, 1, "")))
-	slices.Sort(w.trace)
+	w.set(func() { slices.Sort(w.trace) })
 	w.check(`
 1 unknown grade: 404 Not Found, closing
 2 no destination: 400 Bad Request, closing
@@ -442,13 +501,11 @@
 
 func TestOutlivesBeingKilled(t *testing.T) {
 	w := begin(t)
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
-		if id == "o-1" { // turned away: it has not run
-			out.Header().Set("Retry-After", "7.5")
-			out.WriteHeader(429)
-			return
+	w.answers(func(a *standin.Asked) standin.Reply {
+		if a.ID == "o-1" { // turned away: it has not run
+			return standin.Reply{Status: 429, Fields: []string{"Retry-After: 7.5"}}
 		}
-		<-r.Context().Done()
+		return standin.Reply{Never: true}
 	})
 	w.hand("note", "n-1", 12000, 1, "Idempotency-Key: mark\r\n")
 	w.await(1, "receiver")
@@ -466,13 +523,13 @@
 receiver: POST /events o-2 "body"
 receiver: POST /events o-1 "body"
 `)
-	w.trace = nil
-	w.answers(func(http.ResponseWriter, *http.Request, string) {})
+	w.hear(nil)
+	w.answers(fine)
 	w.start()
 	w.await(2, "receiver")
 	w.await(1, "platform")
 	w.leave()
-	slices.Sort(w.trace)
+	w.set(func() { slices.Sort(w.trace) })
 	w.check(`
 platform: {"message":"o-2","outcome":"given_up"}
 receiver: POST /events n-1 "body"mark
@@ -487,7 +544,7 @@
 
 func TestLeaves(t *testing.T) {
 	w := begin(t)
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) { time.Sleep(700 * time.Millisecond) })
+	w.answers(func(*standin.Asked) standin.Reply { return standin.Reply{Status: 200, After: 700 * time.Millisecond} })
 	w.hand("order", "o-1", 12000, 1)
 	w.await(1, "receiver")
 	w.must(w.sender.Process.Signal(syscall.SIGTERM))
@@ -510,13 +567,11 @@
 // An end that the platform has not taken is handed in until it is, by the next process too.
 func TestEndsAreKept(t *testing.T) {
 	w := begin(t)
-	w.takes = false
-	w.hand("note", "n-1", 200, 9)
+	w.set(func() { w.takes = false })
+	w.hand("note", "n-1", 200, 2)
 	w.await(2, "platform")
 	w.kill()
-	w.mu.Lock()
-	w.takes, w.trace = true, nil
-	w.mu.Unlock()
+	w.set(func() { w.takes, w.trace = true, nil })
 	w.start()
 	w.await(1, "platform")
 	time.Sleep(300 * time.Millisecond)
@@ -527,21 +582,19 @@
 // One end that the platform can't read does not keep the others from it.
 func TestEndsPassOneThatCannotBeRead(t *testing.T) {
 	w := begin(t)
-	w.takes = false
+	w.set(func() { w.takes = false })
 	for i := range 5 {
-		w.hand("note", fmt.Sprint("n-", i), 200, 9)
+		w.hand("note", fmt.Sprint("n-", i), 200, 2)
 	}
 	w.await(2, "platform")
-	w.mu.Lock()
-	w.takes, w.rejects, w.trace = true, "n-2", nil
-	w.mu.Unlock()
+	w.set(func() { w.takes, w.rejects, w.trace = true, "n-2", nil })
 	time.Sleep(1500 * time.Millisecond)
-	slices.Sort(w.trace)
 	var ends []string
-	for _, line := range w.trace {
+	for _, line := range w.heard() {
 		ends = append(ends, strings.Split(strings.ReplaceAll(line, "platform: ", ""), "\n")...)
 	}
-	w.trace = ends
+	slices.Sort(ends)
+	w.hear(ends)
 	w.check(`
 {"message":"n-0","outcome":"handed_back"}
 {"message":"n-1","outcome":"handed_back"}
@@ -556,16 +609,17 @@
 
 func TestFollowsTheList(t *testing.T) {
 	w := begin(t)
-	other := w.serve(w.receive("other"))
-	w.relist(`{"revision":2,"members":[{"id":"s-1","phase":`)
+	w.set(func() { w.garbage = `{"revision":2,"members":[{"id":"s-1-1","phase":` })
+	w.platform.Change()
 	time.Sleep(100 * time.Millisecond)
 	w.hand("note", "n-1", 12000, 1)
 	w.await(1, "receiver")
-	w.relist(`{"revision":2,"complete":true,"members":[{"id":"s-1","phase":"asleep"}]}`)
+	w.set(func() { w.garbage = `{"revision":2,"complete":true,"members":[{"id":"s-1-1","phase":"asleep"}]}` })
 	time.Sleep(100 * time.Millisecond)
 	w.hand("note", "n-2", 12000, 1)
 	w.await(2, "receiver")
-	w.relist(w.members("s-2", other))
+	w.set(func() { w.garbage = "" })
+	w.replace(w.platform)
 	time.Sleep(1200 * time.Millisecond)
 	w.hand("note", "n-3", 12000, 1)
 	w.await(1, "other")
@@ -583,15 +637,12 @@
 // What can't be served in time is refused with the time to come back; what the receiver says is over, is over.
 func TestRefusesAndEnds(t *testing.T) {
 	w := begin(t)
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
-		if id == "o-1" {
-			out.WriteHeader(410)
-			return
+	w.answers(func(a *standin.Asked) standin.Reply {
+		if a.ID == "o-1" {
+			return standin.Reply{Status: 410}
 		}
 		// The connection breaks within the body: it may have run, and the wait that the head told still holds.
-		c, _, _ := out.(http.Hijacker).Hijack()
-		io.WriteString(c, "HTTP/1.1 429 Wait\r\nRetry-After: 7.5\r\nContent-Length: 100\r\n\r\ncut")
-		c.Close()
+		return standin.Reply{Raw: "HTTP/1.1 429 Wait\r\nRetry-After: 7.5\r\nContent-Length: 100\r\n\r\ncut", Close: true}
 	})
 	w.hand("order", "o-1", 12000, 1)
 	w.await(1, "receiver")
@@ -616,9 +667,9 @@
 func TestFullLedger(t *testing.T) {
 	w := begin(t)
 	body := strings.Repeat("b", 64<<10)
-	for i := range 7 { // held, as no receiver of destination 9 is listed
+	for i := range 7 { // held, as the receiver of destination 2 drains
 		id := fmt.Sprint("n-", i)
-		w.say("%s %s", id, w.speakRaw(post("note", id, 12000, 9, body)))
+		w.say("%s %s", id, w.speakRaw(post("note", id, 12000, 2, body)))
 	}
 	w.check(`
 n-0 202 Accepted
@@ -638,15 +689,20 @@
 
 // A connection is used again while the receiver is sure to keep it, and no longer.
 func TestIdleConnections(t *testing.T) {
-	w := begin(t, `"conn_idle": 10000000`, `"conn_idle": 400000`)
+	w := begin(t, `idle_kept = "10s"`, `idle_kept = "400ms"`)
 	var from []string
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) { from = append(from, r.RemoteAddr) })
+	w.answers(func(a *standin.Asked) standin.Reply {
+		w.set(func() { from = append(from, a.Remote) })
+		return standin.Reply{Status: 200}
+	})
 	for i, pause := range []time.Duration{50, 600, 0} {
 		w.hand("note", fmt.Sprint("n-", i), 12000, 1)
 		w.await(i+1, "receiver")
 		time.Sleep(pause * time.Millisecond)
 	}
 	time.Sleep(50 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if from[0] != from[1] || from[1] == from[2] {
 		t.Errorf("calls came from %v", from)
 	}
@@ -675,35 +731,37 @@
 // A new configuration moves the watch and the ends that are owed to its discovery; one that can't be read does not.
 func TestReloads(t *testing.T) {
 	w := begin(t)
-	w.takes = false
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
-		if id == "n-0" {
+	w.set(func() { w.takes = false })
+	w.answers(func(a *standin.Asked) standin.Reply {
+		if a.ID == "n-0" {
 			time.Sleep(700 * time.Millisecond)
 			w.say("receiver: n-0 is answered")
 		}
+		return standin.Reply{Status: 200}
 	})
 	w.hand("note", "n-0", 12000, 1) // its call is out all the while
 	w.await(1, "receiver")
-	w.hand("note", "n-1", 200, 9)
+	w.hand("note", "n-1", 200, 2)
 	w.await(1, "platform")
 	w.must(os.WriteFile(w.path, []byte(`{"listen": "`), 0o600))
 	w.must(w.sender.Process.Signal(syscall.SIGHUP))
 	time.Sleep(100 * time.Millisecond)
-	moved := &world{t: t, takes: true, changed: make(chan struct{})}
-	moved.list = moved.members("s-2", w.serve(w.receive("other"))) // counted anew, from 1
-	w.platform = w.serve(moved.speak)
+	w.platform = w.newPlatform("moved") // its list is counted anew
+	w.replace(w.platform)
 	w.configure()
 	w.must(w.sender.Process.Signal(syscall.SIGHUP))
-	moved.await(1, "platform")
+	w.await(1, "moved")
 	w.hand("note", "n-2", 12000, 1)
 	w.await(1, "other")
 	w.await(2, "receiver")
-	moved.check(`platform: {"message":"n-1","outcome":"handed_back"}`)
-	w.trace = slices.DeleteFunc(w.trace, func(line string) bool { return strings.HasPrefix(line, "platform") })
+	w.set(func() {
+		w.trace = slices.DeleteFunc(w.trace, func(line string) bool { return strings.HasPrefix(line, "platform") })
+	})
 	w.check(`
 client: n-0 202 Accepted
 client: n-1 202 Accepted
 client: n-2 202 Accepted
+moved: {"message":"n-1","outcome":"handed_back"}
 other: POST /events n-2 "body"
 receiver: POST /events n-0 "body"
 receiver: n-0 is answered
@@ -713,7 +771,7 @@
 
 // Clients that open connections by the hundred and say nothing, or never come to an end, must not shut out others.
 func TestSilentClients(t *testing.T) {
-	w := begin(t, `"sockets": 1024`, `"sockets": 100`)
+	w := begin(t, `sockets = 1024`, `sockets = 100`)
 	for i := range 300 {
 		c, err := net.Dial("tcp", w.listen)
 		w.must(err)
@@ -743,7 +801,7 @@
 
 // Clients that each leave off within a large request must not use up the memory: the oldest are closed.
 func TestUnfinishedRequests(t *testing.T) {
-	w := begin(t, `"memory_mb": 192`, `"memory_mb": 16`)
+	w := begin(t, `memory = "192MiB"`, `memory = "16MiB"`)
 	half := strings.TrimSuffix(post("note", "half", 12000, 1, strings.Repeat("b", 60<<10)), "b")
 	for range 60 {
 		c, err := net.Dial("tcp", w.listen)
@@ -768,10 +826,11 @@
 
 // Notices of one key go one at a time, in the order in which they came.
 func TestKeepsOrder(t *testing.T) {
-	w := begin(t, `"repeat": "free"`, `"repeat": "free", "sequential": true`)
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
+	w := begin(t, `repeat = "reissuable"`, "repeat = \"reissuable\"\nin_order = true")
+	w.answers(func(a *standin.Asked) standin.Reply {
 		time.Sleep(100 * time.Millisecond)
-		w.say("receiver: %s is through", id)
+		w.say("receiver: %s is through", a.ID)
+		return standin.Reply{Status: 200}
 	})
 	for _, id := range []string{"n-1", "n-2"} {
 		w.hand("note", id, 12000, 1, "Affinity-Key: k\r\n")
@@ -791,35 +850,30 @@
 // Whatever a sender had on its hands when it was killed or told to leave, each notice taken on is delivered or
 // ends, and what must not run twice does not.
 func TestManyRestarts(t *testing.T) {
-	w := begin(t, `"slots": 8`, `"slots": 20`)
+	w := begin(t, `slots = 8`, `slots = 20`)
 	draw := rand.New(rand.NewPCG(7, 7))
 	taken, ran, delivered := map[string]bool{}, map[string]int{}, map[string]bool{}
-	w.answers(func(out http.ResponseWriter, r *http.Request, id string) {
+	w.answers(func(a *standin.Asked) standin.Reply {
 		w.mu.Lock()
 		kind := draw.IntN(20)
 		if kind != 0 {
-			ran[id]++
+			ran[a.ID]++
 		}
 		w.mu.Unlock()
 		switch kind {
 		case 0:
-			out.WriteHeader(503)
+			return standin.Reply{Status: 503}
 		case 1:
-			out.WriteHeader(500)
+			return standin.Reply{Status: 500}
 		case 2:
 			time.Sleep(400 * time.Millisecond)
 		case 3:
-			c, _, _ := out.(http.Hijacker).Hijack()
-			c.Close()
-			return
+			return standin.Reply{Reset: true}
 		default:
 			time.Sleep(100 * time.Millisecond)
 		}
-		if kind == 2 || kind > 3 {
-			w.mu.Lock()
-			delivered[id] = true
-			w.mu.Unlock()
-		}
+		w.set(func() { delivered[a.ID] = true })
+		return standin.Reply{Status: 200}
 	})
 	for round := range 6 {
 		for i := range 40 {
--- /dev/null
+++ b/cmd/chuteweir/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+var buildFlags = []string{}
--- /dev/null
+++ b/internal/trial/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package trial
+
+var buildFlags = []string{"-race"}
