--- a/cmd/chuteweir/main_test.go
+++ b/cmd/chuteweir/main_test.go
@@ -272,6 +272,9 @@
 func (w *world) kill() {
 	w.sender.Process.Kill()
 	w.sender.Wait()
+	if strings.Contains(w.log.String(), "DATA RACE") {
+		w.t.Errorf("a race in the sender:\n%s", w.log)
+	}
 }
 
 // hand hands a notice in and writes down what the client hears.
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -325,14 +325,19 @@
 	}
 	var all sync.WaitGroup
 	for range int(max(f.Size, 1)) {
-		kind, seed := draw.IntN(len(bad)), draw.Uint64()
+		kind, seed := draw.IntN(len(bad)+1), draw.Uint64()
 		all.Add(1)
 		go func() {
 			defer all.Done()
 			own := rand.New(rand.NewPCG(seed, 1))
 			for c.stage.Clock.Now() < f.Until() && c.stage.sleep(10*time.Millisecond) {
-				c.offend(c.names[own.IntN(len(c.names))], bad[kind](own))
-				kind = own.IntN(len(bad))
+				to := c.names[own.IntN(len(c.names))]
+				if kind == len(bad) {
+					c.neverRead(to, f.Until())
+				} else {
+					c.offend(to, bad[kind](own))
+				}
+				kind = own.IntN(len(bad) + 1)
 			}
 		}()
 	}
@@ -358,6 +363,23 @@
 	},
 }
 
+// neverRead asks on and on and reads no answer.
+func (c *Clients) neverRead(address string, until rules.Millis) {
+	conn, err := net.DialTimeout("tcp", address, 400*time.Millisecond)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	c.Bad.Add(1)
+	text := []byte(strings.Repeat("GET /counters HTTP/1.1\r\nHost: a\r\n\r\n", 100))
+	conn.SetWriteDeadline(time.Now().Add(min(max(c.stage.Clock.Until(until), 0), 2*time.Second)))
+	for {
+		if _, err := conn.Write(text); err != nil {
+			return
+		}
+	}
+}
+
 // offend sends what is bad and notes whether it got an error or a close within 3 s.
 func (c *Clients) offend(address, text string) {
 	conn, err := net.DialTimeout("tcp", address, 400*time.Millisecond)
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -151,6 +151,19 @@
 	if err != nil {
 		return err
 	}
+	return g.open(id, destination, l)
+}
+
+// OpenAt begins a receiver at an address.
+func (g *Gateways) OpenAt(id string, destination int, address string) error {
+	l, err := listenOn(address)
+	if err != nil {
+		return fmt.Errorf("opening receiver %s: %w", id, err)
+	}
+	return g.open(id, destination, l)
+}
+
+func (g *Gateways) open(id string, destination int, l net.Listener) error {
 	r := &receiver{id: id, address: l.Addr().String(), all: g, dest: g.dests[destination], listener: l.(*net.TCPListener),
 		conns: map[net.Conn]bool{}}
 	g.mu.Lock()
@@ -560,9 +573,12 @@
 		f.Reply = r.all.Script(&Asked{ID: id, Mark: mark, Receiver: r.id, Remote: c.RemoteAddr().String(), Path: q.request.URL.Path,
 			Body: q.body, Gone: gone})
 		f.at = stage.Clock.Now() + rules.Millis(f.After)/1e6
-	case !known:
+	case !known && !stage.Strangers:
 		f = fate{Reply: Reply{Status: 400}, at: q.last}
 	default:
+		if !known {
+			hand.Sender, hand.Grade = -1, -1
+		}
 		f = r.decide(q.last, hand.Sender, hand.Grade)
 	}
 	noted.Ran, noted.Fault, noted.Unread = f.Ran, f.fault, f.unseen
--- a/internal/standin/stage.go
+++ b/internal/standin/stage.go
@@ -45,11 +45,13 @@
 	World  *scenario.World
 	Clock  *Clock
 	Record *audit.Record
-	done   chan struct{}
-	once   sync.Once
-	net    byte // the run's own loopback addresses: 127.net.sub.host
-	sub    byte
-	next   atomic.Int64
+	// Strangers lets gateways serve calls for notices that no client of the stage handed in.
+	Strangers bool
+	done      chan struct{}
+	once      sync.Once
+	net       byte // the run's own loopback addresses: 127.net.sub.host
+	sub       byte
+	next      atomic.Int64
 }
 
 // NewStage prepares a run of a world.
--- a/internal/trial/double_test.go
+++ b/internal/trial/double_test.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"chuteweir.example/chuteweir/internal/config"
@@ -55,6 +57,9 @@
 	for _, m := range c.Known.Members {
 		d.list[m.ID] = m
 	}
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGTERM)
+	go func() { <-leave; os.Exit(0) }()
 	go d.watch()
 	return http.ListenAndServe(c.Listen, http.HandlerFunc(d.serve))
 }
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// Relay starts the plain relay that senders are compared with.
+func Relay(program string) Start {
+	return func(config, _ string) *exec.Cmd { return exec.Command(program, "relay", config) }
+}
+
 // Turn is a change of a breaker, as a sender logged it.
 type Turn struct {
 	At          rules.Millis `json:"at"`
@@ -51,20 +56,22 @@
 	config                       config.Config
 	folder, path, state, address string
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	exited  chan struct{}
-	away    bool // ended by us
-	turns   []Turn
-	crashes []string
-	last    []string // lines of its log
-	peakRSS int64
-	peakFDs int
-	cpu     time.Duration // of processes that have ended
+	mu       sync.Mutex
+	command  *exec.Cmd
+	exited   chan struct{}
+	away     bool // ended by us
+	orderly  bool // it answers SIGTERM by leaving
+	turns    []Turn
+	crashes  []string
+	last     []string // lines of its log
+	peakRSS  int64
+	startRSS int64
+	peakFDs  int
+	cpu      time.Duration // of processes that have ended
 }
 
 func newSender(number int, stage *standin.Stage, start Start, c config.Config, folder string) (*Sender, error) {
-	s := &Sender{number: number, stage: stage, start: start, config: c, folder: folder, address: c.Listen,
+	s := &Sender{number: number, stage: stage, start: start, config: c, folder: folder, address: c.Listen, orderly: true,
 		path: filepath.Join(folder, "config.json"), state: filepath.Join(folder, "state")}
 	if err := os.MkdirAll(s.state, 0o700); err != nil {
 		return nil, fmt.Errorf("making a sender's folder: %w", err)
@@ -132,6 +139,9 @@
 		answer.Body.Close()
 		if answer.StatusCode == 200 {
 			s.stage.Record.Life(audit.Life{Sender: s.number, What: "ready", At: s.stage.Clock.Now()})
+			if rss, _, err := usage(command.Process.Pid); err == nil && s.startRSS == 0 {
+				s.startRSS = rss
+			}
 			return nil
 		}
 	}
@@ -155,6 +165,9 @@
 		if s.last = append(s.last, in.Text()); len(s.last) > 30 {
 			s.last = s.last[1:]
 		}
+		if strings.Contains(in.Text(), "DATA RACE") {
+			s.crashes = append(s.crashes, "a race in the sender; its log has both sides")
+		}
 		if err == nil && line.Message == logs.Breaker {
 			s.turns = append(s.turns, Turn{s.stage.Clock.Now(), s.number, line.Destination, line.State, line.Why})
 		}
@@ -192,6 +205,9 @@
 	s.signal(syscall.SIGTERM)
 	select {
 	case <-s.exited:
+		if state := s.command.ProcessState; state != nil && state.ExitCode() != 0 && s.orderly {
+			return fmt.Errorf("sender %d left with status %d: %s", s.number, state.ExitCode(), strings.Join(s.last, "\n"))
+		}
 		return nil
 	case <-time.After(4 * time.Second):
 		s.signal(syscall.SIGKILL)
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -39,33 +39,35 @@
 
 // Result is how a run went. Figures are of stand-ins on one machine's loopback.
 type Result struct {
-	Scenario   string          `json:"scenario"`
-	Seed       uint64          `json:"seed"`
-	Senders    int             `json:"senders"`
-	Seconds    float64         `json:"seconds"`
-	All        Share           `json:"all"`
-	Grades     []Share         `json:"grades"`
-	Well, Sick Share           // by whether a fault strikes the destination in the run
-	Handed     int             `json:"handed"` // hand-ins, again and again counted
-	Taken      int             `json:"taken"`
-	Refused    int             `json:"refused"`    // answered 429 or 503
-	Unanswered int             `json:"unanswered"` // within the clients' patience
-	Dismissed  int             `json:"dismissed"`  // handed back by a notice of ends
-	BrokenOff  int             `json:"broken_off"`
-	Calls      int             `json:"calls"`
-	CallsFull  int             `json:"calls_full"`
-	Second     int             `json:"second_effects"` // of at-most-once notices
-	Answers    Times           `json:"answers_ms"`
-	Turns      []Turn          `json:"breaker_turns"`
-	Held       []Point         `json:"held"`
-	CPU        float64         `json:"cpu_us_a_notice"` // of all senders, for each notice wanted
-	PeakRSS    int64           `json:"peak_rss"`
-	PeakFDs    int             `json:"peak_descriptors"`
-	LateOffers int             `json:"late_offers"` // handed in over 10 ms after their time: the machine was too busy
-	Bad        int             `json:"bad_clients"`
-	Breaches   []audit.Breach  `json:"breaches"`
-	View       audit.View      `json:"-"`
-	World      *scenario.World `json:"-"`
+	Scenario   string                  `json:"scenario"`
+	Seed       uint64                  `json:"seed"`
+	Senders    int                     `json:"senders"`
+	Seconds    float64                 `json:"seconds"`
+	All        Share                   `json:"all"`
+	Grades     []Share                 `json:"grades"`
+	Well, Sick Share                   // by whether a fault strikes the destination in the run
+	Handed     int                     `json:"handed"` // hand-ins, again and again counted
+	Taken      int                     `json:"taken"`
+	Refused    int                     `json:"refused"`    // answered 429 or 503
+	Unanswered int                     `json:"unanswered"` // within the clients' patience
+	Dismissed  int                     `json:"dismissed"`  // handed back by a notice of ends
+	BrokenOff  int                     `json:"broken_off"`
+	Calls      int                     `json:"calls"`
+	CallsFull  int                     `json:"calls_full"`
+	Second     int                     `json:"second_effects"` // of at-most-once notices
+	Answers    Times                   `json:"answers_ms"`
+	Turns      []Turn                  `json:"breaker_turns"`
+	Held       []Point                 `json:"held"`
+	CPU        float64                 `json:"cpu_us_a_notice"` // of all senders, for each notice wanted
+	PeakRSS    int64                   `json:"peak_rss"`
+	PeakFDs    int                     `json:"peak_descriptors"`
+	LateOffers int                     `json:"late_offers"` // handed in over 10 ms after their time: the machine was too busy
+	Bad        int                     `json:"bad_clients"`
+	Breaches   []audit.Breach          `json:"breaches"`
+	View       audit.View              `json:"-"`
+	World      *scenario.World         `json:"-"`
+	Spread     *hdrhistogram.Histogram `json:"-"` // of all deliveries, in microseconds
+	StartRSS   int64                   `json:"start_rss"`
 }
 
 type tally struct {
@@ -171,6 +173,7 @@
 			r.BrokenOff++
 		}
 	}
+	r.Spread = all.spread
 	r.All, r.Well, r.Sick = all.share(), well.share(), sick.share()
 	for _, g := range grades {
 		r.Grades = append(r.Grades, g.share())
@@ -179,8 +182,10 @@
 		s.mu.Lock()
 		r.Turns = append(r.Turns, s.turns...)
 		r.PeakRSS, r.PeakFDs = max(r.PeakRSS, s.peakRSS), max(r.PeakFDs, s.peakFDs)
+		r.StartRSS = max(r.StartRSS, s.startRSS)
 		s.mu.Unlock()
 	}
+	r.PeakRSS, r.PeakFDs = max(r.PeakRSS, t.rss), max(r.PeakFDs, t.fds)
 	slices.SortStableFunc(r.Turns, func(a, b Turn) int { return cmp.Compare(a.At, b.At) })
 	if r.All.Asked > 0 {
 		r.CPU = float64(used.Microseconds()) / float64(r.All.Asked)
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -26,6 +28,10 @@
 	Start    Start
 	Keep     string         // folder for configurations, ledgers and logs; empty: none are kept
 	Progress func(Progress) // told a few times a second
+	// Targets are senders that run already, in place of those that a run starts: they must ask the platform at Platform.
+	Targets  []string
+	Platform string
+	PID      int // of the process whose processor time and memory count, with Targets
 	Prepare  func(*standin.Stage, *standin.Gateways, *standin.Platform)
 }
 
@@ -63,7 +69,19 @@
 	t := &trial{Options: o, stage: stage, platform: platform}
 	defer t.killAll()
 	var addresses []string
-	for i := range w.Senders {
+	if len(o.Targets) > 0 {
+		if w.Senders = len(o.Targets); o.Platform == "" {
+			return nil, errors.New("senders that run already need a platform at an address that they know")
+		}
+		if err := platform.Listen(0, o.Platform); err != nil {
+			return nil, err
+		}
+		addresses = o.Targets
+		if err := awaitTargets(ctx, o.Targets); err != nil {
+			return nil, err
+		}
+	}
+	for i := range w.Senders - len(o.Targets) {
 		c := config.Config{Name: fmt.Sprintf("n%d", i), Listen: stage.Free(), Discovery: platform.Address(i),
 			Seed: scenario.Chance(w.Seed, 1<<42+uint64(i)).Uint64(), Machine: w.Machine, Settings: w.Settings, Names: w.Names}
 		s, err := newSender(i, stage, o.Start, c, filepath.Join(folder, c.Name))
@@ -91,10 +109,7 @@
 	}
 	stop := context.AfterFunc(ctx, stage.Close)
 	defer stop()
-	var before time.Duration
-	for _, s := range t.senders {
-		before += s.used()
-	}
+	before := t.used()
 	began := time.Now()
 	stage.Clock.Begin()
 	watched := make(chan struct{})
@@ -115,10 +130,9 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("playing %s: %w", w.Name, ctx.Err())
 	}
-	var used time.Duration
+	used := t.used()
 	for _, s := range t.senders {
 		s.sample()
-		used += s.used()
 	}
 	t.clients.Quit()
 	var leaving sync.WaitGroup
@@ -149,6 +163,8 @@
 	mu       sync.Mutex
 	faults   []error
 	held     []Point
+	rss      int64 // of PID
+	fds      int
 }
 
 // Point is how much was held at a time.
@@ -157,6 +173,41 @@
 	Open int          `json:"open"`
 }
 
+// used is the processor time of all senders so far.
+func (t *trial) used() time.Duration {
+	if t.PID > 0 {
+		return cpuOf(t.PID)
+	}
+	var used time.Duration
+	for _, s := range t.senders {
+		used += s.used()
+	}
+	return used
+}
+
+// awaitTargets waits until senders that run already serve.
+func awaitTargets(ctx context.Context, targets []string) error {
+	for _, address := range targets {
+		last := error(nil)
+		for began := time.Now(); ; {
+			answer, err := http.Get("http://" + address + "/up")
+			if err == nil {
+				answer.Body.Close()
+				if answer.StatusCode == 200 {
+					break
+				}
+				err = fmt.Errorf("/up answers %d", answer.StatusCode)
+			}
+			if last = err; time.Since(began) > 5*time.Second || ctx.Err() != nil {
+				return fmt.Errorf("sender at %s does not serve: %w", address, last)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // its watch begins
+	return nil
+}
+
 func (t *trial) fault(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,6 +240,13 @@
 		for _, s := range t.senders {
 			s.sample()
 		}
+		if t.PID > 0 {
+			if rss, fds, err := usage(t.PID); err == nil {
+				t.mu.Lock()
+				t.rss, t.fds = max(t.rss, rss), max(t.fds, fds)
+				t.mu.Unlock()
+			}
+		}
 		if t.Progress != nil {
 			t.Progress(Progress{now, t.stage.World.Length, int(t.clients.Offered.Load()), open})
 		}
