--- a/Makefile
+++ b/Makefile
@@ -1,23 +1,39 @@
 # The project's chores; `make check` is what CI runs.
 
-.PHONY: build test fuzz lint run check
+.PHONY: build test fuzz lint run check cover soak measure
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test:
-	go test ./...
+	go test -race ./...
 
 fuzz:
 	go test ./internal/http1 -run '^$$' -fuzz FuzzParser -fuzztime 30s
+	go test ./internal/conf -run '^$$' -fuzz FuzzRead -fuzztime 30s
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
+	go tool staticcheck ./...
 
-# A sender by itself: `make run CONFIG=config.json STATE=folder`; README.md shows a configuration.
+# A sender by itself: `make run CONFIG=sender.toml`; docs/configuration.md shows one.
 run: build
-	PROXY_CONFIG=$(CONFIG) PROXY_STATE=$(STATE) bin/chuteweir
+	bin/chuteweir serve $(CONFIG)
+
+# What the tests of the program reach, in the sender's own process.
+cover:
+	mkdir -p bin/cover && rm -rf bin/cover/*
+	GOCOVERDIR=$(CURDIR)/bin/cover go test -count 1 ./cmd/chuteweir
+	go tool covdata percent -i bin/cover
+
+# Many seeds of mixed troubles, each audited: some 25 s a seed.
+soak: build
+	bin/chuteweir try --scenario mixed --seeds $(or $(SEEDS),200)
+
+# The figures of docs/measurements; some 20 minutes, on a machine that does nothing else.
+measure: build
+	bash docs/measurements/measure.sh
 
 check:
 	bash .ci/run
--- a/cmd/chutelab/main.go
+++ b/cmd/chutelab/main.go
@@ -6,12 +6,17 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/debug"
 
 	"chuteweir.example/chuteweir/internal/cli"
 	"github.com/spf13/cobra"
 )
 
-func main() { cli.Exit("chuteweir", commands().Execute()) }
+func main() {
+	// What is seen is kept until it is audited: collecting often would only take the machine from the senders.
+	debug.SetGCPercent(400)
+	cli.Exit("chuteweir", commands().Execute())
+}
 
 func commands() *cobra.Command {
 	root := cli.Prepare(&cobra.Command{
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,6 +41,8 @@
 	closing bool      // the last answer is written
 	waiting []byte    // bytes behind the request that waits
 	passed  int       // bytes passed over since the last answer
+	pages   int       // asked for in this turn
+	pagesAt time.Time
 }
 
 // Refusals counts requests and connections turned away without the module's having seen them, by what was wrong.
@@ -151,7 +153,7 @@
 			status, body = 405, ""
 		}
 		m.Body.Free()
-		in.write(c, status, nil, body, in.Leaving)
+		in.write(c, status, nil, body, in.Leaving || in.floods(c))
 	case m.Method != "POST":
 		m.Body.Free()
 		in.Refused.Malformed++
@@ -173,6 +175,18 @@
 	}
 }
 
+// floods tells whether a client asks for pages on and on, more than it can be reading: each costs a sender more than
+// the client, which may never read any.
+func (in *Intake) floods(c *client) bool {
+	if c.pagesAt != in.now {
+		c.pages, c.pagesAt = 0, in.now
+	}
+	if c.pages++; c.pages == in.limits.Pages {
+		in.Refused.Flooding++
+	}
+	return c.pages >= in.limits.Pages
+}
+
 // request reads a notice, or says with which status it is malformed.
 func (in *Intake) request(m *http1.Message, path string) (*Request, int) {
 	grade := m.Get("request-class")
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,8 +18,9 @@
 
 // Limits is what the sender grants itself.
 type Limits struct {
-	Memory int64 // the Go runtime's own limit, in bytes
-	Disk   int64 // bytes of the ledger and its copy while it is rewritten
+	Cores  float64 // granted, or a part of one
+	Memory int64   // the Go runtime's own limit, in bytes
+	Disk   int64   // bytes of the ledger and its copy while it is rewritten
 
 	Buffer    int // size of every buffer
 	Queued    int // bytes read from sockets and not yet seen by the loop
@@ -32,6 +33,7 @@
 
 	Clients   int // connections from clients
 	Crowd     int // of these: from so many on the ones quiet for longest make room
+	Pages     int // asked for on one connection in one turn: with the last of these it ends
 	Discard   int // bytes read of a client after the last answer on its connection
 	Receivers int // connections to receivers
 
@@ -41,7 +43,7 @@
 	ConnectTime  time.Duration
 	RestTime     time.Duration // for the body of an answer whose head was enough
 	ReceiverIdle time.Duration // how long a connection to a receiver may stand idle
-	Turn         time.Duration // between the beginnings of two turns of the loop, at least
+	Turn         time.Duration // between the beginnings of two turns of a busy loop
 	Sweep        time.Duration // between looks for what has taken too long
 
 	Hold        time.Duration // how long discovery is asked to hold a watch
@@ -67,7 +69,11 @@
 	if m.DiskMB <= 0 {
 		m.DiskMB = 1
 	}
+	if m.Cores <= 0 {
+		m.Cores = 1
+	}
 	l := Limits{
+		Cores:  m.Cores,
 		Memory: int64(m.MemoryMB) * mb / 2,
 		Disk:   int64(m.DiskMB * 1e6 * 0.9),
 
@@ -78,6 +84,7 @@
 		Body:      64 << 10,
 		List:      min(4, max(m.MemoryMB/16, 1)) * mb,
 		Discard:   256 << 10,
+		Pages:     4,
 		HeldBytes: m.MemoryMB * mb / 8,
 		Partial:   m.MemoryMB * mb / 16,
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -66,6 +66,7 @@
 	sweepAt      time.Time
 	leavingAt    time.Time
 	counters     Counters
+	pace         pace
 	tracing      bool // each notice's way is logged
 }
 
@@ -74,6 +75,7 @@
 	l := &Loop{config: c, log: log, started: time.Now(), notices: map[rules.NoticeID]*held{},
 		buffers: buffers.NewPool(c.Limits.Buffer), receivers: directory.NewReceivers(c.Names)}
 	l.now = l.started
+	l.pace = pace{most: c.Limits.Turn, cores: c.Limits.Cores}
 	l.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	for _, g := range c.Settings.Grades {
 		l.ids.span = max(l.ids.span, span(g.ClientTimeout))
@@ -167,9 +169,12 @@
 				l.log.Info(logs.Leaving, "held", len(l.notices), "out", l.calls.Out())
 			}
 		}
-		// A turn costs the same for one event as for many: what comes close together is gathered in one.
-		time.Sleep(time.Until(l.now.Add(l.config.Limits.Turn)))
+		// What comes close together is gathered in one turn, as far as the sender is busy.
+		time.Sleep(time.Until(l.now.Add(l.pace.spacing())))
 		next, done := l.turn()
+		if l.pace.due(l.now) {
+			l.pace.look(l.now, processorTime())
+		}
 		if done {
 			break
 		}
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,6 +21,7 @@
 	"chuteweir.example/chuteweir/internal/directory"
 	"chuteweir.example/chuteweir/internal/scenario"
 	"chuteweir.example/chuteweir/rules"
+	"github.com/valyala/fasthttp"
 )
 
 func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
@@ -86,6 +89,8 @@
 		}
 	}
 	arrivals := c.stage.World.Arrivals()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	for {
 		a, ok := arrivals.Next()
 		if !ok || !c.waitFor(a.At) {
@@ -105,10 +110,17 @@
 	c.handing.Wait()
 }
 
-// waitFor waits for an arrival's time, exactly enough for thousands a second.
+// waitFor waits for an arrival's time. Go's timers are up to a millisecond late where a process is idle, which would be
+// measured as the sender's: the last part is waited for in the kernel.
 func (c *Clients) waitFor(at rules.Millis) bool {
 	wait := c.stage.Clock.Until(at)
-	return wait <= 0 || c.stage.sleep(wait)
+	if wait > 5*time.Millisecond && !c.stage.sleep(wait-3*time.Millisecond) {
+		return false
+	}
+	if wait = c.stage.Clock.Until(at); wait > 20*time.Microsecond {
+		exactly(wait)
+	}
+	return !c.stage.Ended()
 }
 
 // choose deals notices out over the senders, but for those known to be dead.
@@ -282,26 +294,27 @@
 			return 0, 0, true
 		}
 		sent = true
-		answer, err := http.ReadResponse(l.in, nil)
-		if err != nil {
+		answer := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(answer)
+		if err := answer.Read(l.in); err != nil {
 			l.Close()
 			// A kept connection that the sender closed before it read the request: once more on a new one.
-			if !fresh && err == io.ErrUnexpectedEOF && l.in.Buffered() == 0 && time.Now().Before(deadline) {
+			if !fresh && (errors.Is(err, io.EOF) || errors.As(err, &fasthttp.ErrNothingRead{})) && time.Now().Before(deadline) {
 				continue
 			}
 			return 0, 0, true
 		}
-		io.Copy(io.Discard, answer.Body)
-		answer.Body.Close()
-		if s, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
-			after = rules.Millis(s * 1000)
+		if told := answer.Header.Peek("Retry-After"); len(told) > 0 {
+			if s, err := strconv.ParseFloat(string(told), 64); err == nil {
+				after = rules.Millis(s * 1000)
+			}
 		}
-		if answer.Close {
+		if answer.ConnectionClose() {
 			l.Close()
 		} else {
 			c.pools[sender].put(l)
 		}
-		return answer.StatusCode, after, true
+		return answer.StatusCode(), after, true
 	}
 }
 
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -15,6 +15,7 @@
 	"chuteweir.example/chuteweir/internal/gateway"
 	"chuteweir.example/chuteweir/internal/scenario"
 	"chuteweir.example/chuteweir/rules"
+	"github.com/valyala/fasthttp"
 )
 
 // Asked is a call that a receiver has read.
@@ -368,14 +369,49 @@
 
 // read is a request as it came.
 type read struct {
-	first, last rules.Millis
-	request     *http.Request
-	body        []byte
+	first, last    rules.Millis
+	id, mark, path string
+	body           []byte
+}
+
+// line is a connection from a sender, which one goroutine serves.
+type line struct {
+	net.Conn
+	in   *bufio.Reader
+	gone chan struct{} // closed when the sender has ended it; nil while nobody looks
+	next chan struct{} // closed when there is something to read, or the end
+}
+
+// watch looks, beside whoever serves the connection, whether the sender ends it.
+func (l *line) watch() <-chan struct{} {
+	if l.gone == nil {
+		l.gone, l.next = make(chan struct{}), make(chan struct{})
+		go func(gone, next chan struct{}) {
+			defer close(next)
+			if _, err := l.in.Peek(1); err != nil {
+				close(gone)
+			}
+		}(l.gone, l.next)
+	}
+	return l.gone
+}
+
+// await waits until there is something to read.
+func (l *line) await(done <-chan struct{}) bool {
+	if l.next != nil {
+		select {
+		case <-l.next:
+		case <-done:
+			return false
+		}
+		l.gone, l.next = nil, nil
+	}
+	_, err := l.in.Peek(1)
+	return err == nil
 }
 
 // serve answers the calls of one connection.
 func (r *receiver) serve(c net.Conn) {
-	gone, requests := make(chan struct{}), make(chan read)
 	defer func() {
 		c.Close()
 		r.mu.Lock()
@@ -385,59 +421,37 @@
 		r.dest.open--
 		r.dest.mu.Unlock()
 	}()
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		defer close(gone)
-		r.receive(c, requests, ended)
-	}()
-	for {
-		select {
-		case q := <-requests:
-			if !r.answer(c, q, gone) {
-				return
-			}
-		case <-gone:
-			return
-		case <-r.all.stage.done:
+	l := &line{Conn: c, in: bufio.NewReaderSize(c, 4096)}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	for l.await(r.all.stage.done) {
+		q, ok := r.receive(l, request)
+		if !ok || !r.answer(l, q) {
 			return
 		}
 	}
 }
 
-// receive reads requests until the connection ends.
-func (r *receiver) receive(c net.Conn, requests chan<- read, ended <-chan struct{}) {
+// receive reads a request.
+func (r *receiver) receive(l *line, request *fasthttp.Request) (read, bool) {
 	stage := r.all.stage
-	in := bufio.NewReaderSize(c, 4096)
-	for {
-		if _, err := in.Peek(1); err != nil {
-			return
-		}
-		q := read{first: stage.Clock.Now()}
-		if r.hold(scenario.Silent) {
-			reset(c)
-			return
-		}
-		if _, struck := r.strike(scenario.ResetBefore, -1); struck {
-			stage.Record.Call(audit.Call{Receiver: r.id, Dest: r.dest.Number, First: q.first, Last: q.first, Unread: true,
-				Fault: scenario.ResetBefore})
-			reset(c)
-			return
-		}
-		request, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if q.body, err = io.ReadAll(request.Body); err != nil {
-			return
-		}
-		q.request, q.last = request, stage.Clock.Now()
-		select {
-		case requests <- q:
-		case <-ended:
-			return
-		}
+	q := read{first: stage.Clock.Now()}
+	if r.hold(scenario.Silent) {
+		reset(l.Conn)
+		return q, false
+	}
+	if _, struck := r.strike(scenario.ResetBefore, -1); struck {
+		stage.Record.Call(audit.Call{Receiver: r.id, Dest: r.dest.Number, First: q.first, Last: q.first, Unread: true,
+			Fault: scenario.ResetBefore})
+		reset(l.Conn)
+		return q, false
 	}
+	if request.ReadLimitBody(l.in, 1<<20) != nil {
+		return q, false
+	}
+	q.id, q.mark = string(request.Header.Peek("Request-Id")), string(request.Header.Peek("Idempotency-Key"))
+	q.path, q.body, q.last = string(request.URI().Path()), request.Body(), stage.Clock.Now()
+	return q, true
 }
 
 // hold waits while a fault acts, and tells whether it did.
@@ -562,16 +576,15 @@
 }
 
 // answer answers one call, and tells whether the connection goes on.
-func (r *receiver) answer(c net.Conn, q read, gone <-chan struct{}) bool {
-	stage := r.all.stage
-	id, mark := q.request.Header.Get("Request-Id"), q.request.Header.Get("Idempotency-Key")
+func (r *receiver) answer(c *line, q read) bool {
+	stage, id, mark := r.all.stage, q.id, q.mark
 	hand, known := stage.Record.HandOf(id)
 	noted := audit.Call{ID: id, Receiver: r.id, Mark: mark, Dest: r.dest.Number, Apart: r.apart(), First: q.first, Last: q.last}
 	var f fate
 	switch {
 	case r.all.Script != nil:
-		f.Reply = r.all.Script(&Asked{ID: id, Mark: mark, Receiver: r.id, Remote: c.RemoteAddr().String(), Path: q.request.URL.Path,
-			Body: q.body, Gone: gone})
+		f.Reply = r.all.Script(&Asked{ID: id, Mark: mark, Receiver: r.id, Remote: c.RemoteAddr().String(), Path: q.path,
+			Body: q.body, Gone: c.watch()})
 		f.at = stage.Clock.Now() + rules.Millis(f.After)/1e6
 	case !known && !stage.Strangers:
 		f = fate{Reply: Reply{Status: 400}, at: q.last}
@@ -587,22 +600,24 @@
 		at := stage.Clock.Now()
 		stage.Record.Change(call, func(c *audit.Call) { c.Closed = at })
 	}
-	due := time.NewTimer(max(stage.Clock.Until(f.at), f.After))
-	defer due.Stop()
-	if f.Never {
-		due.Stop()
-	}
-	select {
-	case <-due.C:
-	case <-gone:
-		closed()
-		return false
-	case <-stage.done:
-		return false
+	if wait := max(stage.Clock.Until(f.at), f.After); wait > 0 || f.Never {
+		due := time.NewTimer(wait)
+		defer due.Stop()
+		if f.Never {
+			due.Stop()
+		}
+		select {
+		case <-due.C:
+		case <-c.watch():
+			closed()
+			return false
+		case <-stage.done:
+			return false
+		}
 	}
 	if r.hold(scenario.Silent) {
 		closed()
-		reset(c)
+		reset(c.Conn)
 		return false
 	}
 	r.holdPause()
@@ -610,7 +625,7 @@
 		f.Raw = compose(f.Reply)
 	}
 	if f.Raw != "" {
-		if !r.write(c, call, f, gone) {
+		if !r.write(c, call, f) {
 			closed()
 			return false
 		}
@@ -618,12 +633,12 @@
 	switch {
 	case f.Reset:
 		closed()
-		reset(c)
+		reset(c.Conn)
 		return false
 	case f.spoilt:
 		// The connection stays open and is of no further use.
 		select {
-		case <-gone:
+		case <-c.watch():
 		case <-stage.done:
 		}
 		return false
@@ -655,7 +670,7 @@
 }
 
 // write writes an answer and notes when its first line was out.
-func (r *receiver) write(c net.Conn, call *audit.Call, f fate, gone <-chan struct{}) bool {
+func (r *receiver) write(c *line, call *audit.Call, f fate) bool {
 	stage := r.all.stage
 	note := func() {
 		at := stage.Clock.Now()
@@ -682,7 +697,7 @@
 		}
 		select {
 		case <-time.After(time.Second):
-		case <-gone:
+		case <-c.watch():
 			return false
 		case <-stage.done:
 			return false
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -216,11 +216,24 @@
 	}
 }
 
+// running tells whether its process has not ended; s.mu is held.
+func (s *Sender) running() bool {
+	if s.exited == nil {
+		return false
+	}
+	select {
+	case <-s.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // sample looks at what the process takes.
 func (s *Sender) sample() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.command == nil || s.command.Process == nil || s.command.ProcessState != nil {
+	if !s.running() {
 		return
 	}
 	rss, fds, err := usage(s.command.Process.Pid)
@@ -234,7 +247,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	used := s.cpu
-	if s.command != nil && s.command.Process != nil && s.command.ProcessState == nil {
+	if s.running() {
 		used += cpuOf(s.command.Process.Pid)
 	}
 	return used
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -136,3 +136,161 @@
 		})
 	}
 }
+
+// head is the settings of short scenarios for the real sender.
+const head = `
+length = "4s"
+settle = "10s"
+[traffic]
+rate = "150/s"
+[senders]
+count = 2
+notice = "200ms"
+[[grade]]
+name = "status"
+quoted = "1s"
+timeout = "4s"
+repeat = "reissuable"
+[[grade]]
+name = "dispatch"
+quoted = "1s"
+timeout = "4s"
+credit = 3
+repeat = "at-most-once"
+[[grade]]
+name = "order"
+quoted = "1s"
+timeout = "4s"
+repeat = "numbered"
+remembers = "30s"
+in_order = true
+[[portfolio]]
+name = "acme"
+quota = "500/s"
+[[gateway]]
+name = "site"
+destinations = 6
+receivers = 2
+limit = "80/s"
+tells_wait = 0.5
+`
+
+// What a sender does in the worst hours breaks no rule, and what is well is served.
+func TestHardHours(t *testing.T) {
+	for name, c := range map[string]struct {
+		script string
+		least  float64 // of the credit
+		most   float64 // 0: any
+	}{
+		"calm": {"", 0.999, 0},
+		"all sick, the hold full": {`
+[sending]
+hold = 60
+[[fault]]
+kind = "hang"
+at = "200ms"
+for = "2s"`, 0.05, 0.9},
+		"killed amid load, and started again": {`
+[[fault]]
+kind = "kill"
+at = "1s"
+for = "300ms"
+[[fault]]
+kind = "kill"
+at = "2500ms"
+for = "300ms"
+part = 0.5`, 0.6, 0},
+		"platform silent from the start": {`
+[[fault]]
+kind = "list-silent"
+at = "0s"
+for = "4s"`, 0.999, 0},
+		"ends refused, half of the calls reset": {`
+[[fault]]
+kind = "ends-refused"
+at = "500ms"
+for = "2s"
+[[fault]]
+kind = "reset-after"
+at = "500ms"
+for = "2s"
+share = 0.5`, 0.3, 0},
+		"garbage for a configuration": {`
+[[fault]]
+kind = "reload"
+at = "500ms"
+for = "1s"`, 0.999, 0},
+		"bad clients, some that never read": {`
+[[fault]]
+kind = "hostile"
+at = "100ms"
+for = "3s"
+size = 40`, 0.99, 0},
+		"drains, replacements, lists that can't be read": {`
+[[fault]]
+kind = "drain"
+at = "500ms"
+for = "1500ms"
+part = 0.5
+[[fault]]
+kind = "list-garbage"
+at = "2s"
+for = "1s"
+[[fault]]
+kind = "vanish"
+at = "1s"
+for = "1s"
+part = 0.2`, 0.9, 0},
+		"connections that never come up, and silence": {`
+[[fault]]
+kind = "never-up"
+at = "500ms"
+for = "1500ms"
+part = 0.4
+[[fault]]
+kind = "silent"
+at = "1s"
+for = "1500ms"
+part = 0.3`, 0.4, 0},
+		"spoilt answers, a byte a second, flapping": {`
+[[fault]]
+kind = "spoilt"
+at = "500ms"
+for = "2s"
+share = 0.5
+part = 0.5
+[[fault]]
+kind = "dribble"
+at = "1s"
+for = "1s"
+part = 0.2
+[[fault]]
+kind = "flap"
+at = "1s"
+for = "2s"
+each = "400ms"
+part = 0.3`, 0.5, 0},
+		"told to leave, and standing still": {`
+[[fault]]
+kind = "stop"
+at = "500ms"
+for = "500ms"
+part = 0.5
+[[fault]]
+kind = "freeze"
+at = "2500ms"
+for = "800ms"
+part = 0.5`, 0.6, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, "name = \"hard\"\n"+head+c.script, 1, Serve(program, "debug"))
+			if !r.Clean() {
+				t.Errorf("%d breaches\n%s", len(r.Breaches), audit.Tell(r.Breaches))
+			}
+			if r.All.Credit < c.least || c.most > 0 && r.All.Credit > c.most || r.All.Asked < 300 {
+				t.Errorf("credit %.3f of %d notices", r.All.Credit, r.All.Asked)
+			}
+		})
+	}
+}
