--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -49,6 +49,11 @@
 	return c.Unread || !c.Spoilt && (c.Status == 429 || c.Status == 503 || c.Status == 504 || c.Status == 410)
 }
 
+// sure tells whether the sender must have seen the answer that delivered it.
+func (c *Call) sure(crossing rules.Millis) bool {
+	return c.Delivered && (c.Closed == 0 || c.Closed > c.Replied+crossing)
+}
+
 // over is when the call was over for the sender, or never.
 func (c *Call) over() rules.Millis {
 	switch {
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -220,6 +221,24 @@
 	if r.LateOffers > 0 {
 		fmt.Fprintf(out, "%d notices were handed in over 10 ms late: this machine is too busy\n", r.LateOffers)
 	}
+	for i, f := range r.World.Faults {
+		if i == 0 {
+			fmt.Fprintln(out)
+		}
+		var struck []string
+		for _, d := range r.World.Destinations {
+			if slices.Contains(d.Faults, f) {
+				struck = append(struck, fmt.Sprint(d.Number))
+			}
+		}
+		for _, s := range r.World.Struck[i] {
+			struck = append(struck, fmt.Sprintf("sender %d", s))
+		}
+		if len(struck) > 8 {
+			struck = append(struck[:8], fmt.Sprintf("and %d more", len(struck)-8))
+		}
+		fmt.Fprintf(out, "%5.1f to %.1f s  %s %s %s\n", f.At/1000, f.Until()/1000, f.Kind, f.Grade, strings.Join(struck, " "))
+	}
 	r.breakers(out)
 	if r.Clean() {
 		fmt.Fprintln(out, "\nall six rules kept")
