Few senders use their part of a return's budget and no more

One and a half had been measured among dozens of senders, of which few have something to send all the time. The factor now rises from one at four senders.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,7 +31,8 @@
 	foresight   = 0.8  // how much of what a notice would still earn a quoted time later counts against haste
 	doubtPart   = 0.75 // of the slots that all doubtful routes may hold together
 	nearlyFull  = 0.9  // of the hold limit: from here on the least promising make room
-	ownPart     = 1.5  // of the return budget: see docs/design.md on why it may be over one
+	ownPart     = 1.5  // of the return budget, among many: see docs/design.md on why it may be over one
+	few         = 4.0  // so few senders each use all of their part, and it may not be over one
 	closeServed = 0.2  // how near a grade's served share must be to the worst to count with it
 	sureAfter   = 2.0  // an outage is sure after so many falls without a success
 	burstPart   = 0.25 // of a fall: what was not sent under a limit for so long may be made up
@@ -797,7 +798,8 @@
 	capacity := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
 	capacity = max(capacity, float64(r.destination.held)/float64(len(r.destination.routes))/float64(down))
 	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
-	return min(rate, ownPart*s.settings.TipMultiple*capacity), true
+	part := ownPart - (ownPart-1)*min(1, few/float64(max(s.settings.Senders, 1)))
+	return min(rate, part*s.settings.TipMultiple*capacity), true
 }
 
 // paceAt is when the next call may leave for a route. Senders that saw the same outage must not all call at
