Auditor tells a connection that the gateway reset from one that the sender closed

An answer is not sure to have been read where the gateway's own reset follows it; that the sender closed is no doubt. Found by the double that ends what was delivered, which had passed unseen for a while.

--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chuteweir.example/chuteweir/internal/audit"
@@ -383,6 +385,7 @@
 	gone chan struct{} // closed when the sender has ended it; nil while nobody looks
 	next chan struct{} // closed when there is something to read, or the end
 	last *audit.Call   // the call answered last
+	ours atomic.Bool   // it ended from the gateway's side
 }
 
 // watch looks, beside whoever serves the connection, whether the sender ends it.
@@ -391,7 +394,7 @@
 		l.gone, l.next = make(chan struct{}), make(chan struct{})
 		go func(gone, next chan struct{}) {
 			defer close(next)
-			if _, err := l.in.Peek(1); err != nil {
+			if !l.peek() {
 				close(gone)
 			}
 		}(l.gone, l.next)
@@ -409,7 +412,15 @@
 		}
 		l.gone, l.next = nil, nil
 	}
+	return l.peek()
+}
+
+// peek waits for the next byte, and notes whose end it was if none comes.
+func (l *line) peek() bool {
 	_, err := l.in.Peek(1)
+	if errors.Is(err, net.ErrClosed) {
+		l.ours.Store(true)
+	}
 	return err == nil
 }
 
@@ -427,7 +438,7 @@
 	l := &line{Conn: c, in: bufio.NewReaderSize(c, 4096)}
 	defer func() {
 		// An answer that a reset follows may never have been read.
-		if at := r.all.stage.Clock.Now(); l.last != nil {
+		if at := r.all.stage.Clock.Now(); l.last != nil && l.ours.Load() {
 			r.all.stage.Record.Change(l.last, func(c *audit.Call) {
 				if c.Closed == 0 {
 					c.Closed = at
