--- a/cmd/chutelab/load.go
+++ b/cmd/chutelab/load.go
@@ -219,6 +219,13 @@
 	{"answer p99 ms", func(r *trial.Result) float64 { return r.Answers.P99 }},
 	{"CPU us a notice", func(r *trial.Result) float64 { return r.CPU }},
 	{"peak RSS MB", func(r *trial.Result) float64 { return float64(r.PeakRSS) / 1e6 }},
+	{"RSS kB a notice held", func(r *trial.Result) float64 {
+		most := 1
+		for _, p := range r.Held {
+			most = max(most, p.Open)
+		}
+		return float64(r.PeakRSS-r.StartRSS) / 1e3 / float64(most*r.Senders)
+	}},
 	{"handed in late", func(r *trial.Result) float64 { return float64(r.LateOffers) / float64(max(r.All.Asked, 1)) }},
 }
 
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -296,7 +296,7 @@
 }
 
 // Twenty destinations that hang, with fewer connections than slots are configured, take nothing from twenty that are
-// well. Before shortages were told as such and slots held to the connections, a fifth of these were handed back.
+// well. Before shortages were told as such and slots held to the connections, a third of these notices were handed back.
 func TestManySick(t *testing.T) {
 	s, err := scenario.Load("manysick")
 	if err != nil {
