--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -152,7 +152,7 @@
 	}
 	switch {
 	case s == nil || path == "":
-		return wrong("no such section", "one of "+f.table.near(path))
+		return wrong("no such section", "one of "+f.table.names())
 	case s.Many && !many:
 		return wrong("this section may stand more than once", "[["+path+"]]")
 	case !s.Many && many:
@@ -163,8 +163,8 @@
 	return f.block(s, line), path, false
 }
 
-// near lists the sections, for one that does not exist.
-func (t Table) near(string) string {
+// names lists the sections.
+func (t Table) names() string {
 	var names []string
 	for _, s := range t {
 		if s.Name != "" {
