--- a/rules/rules.go
+++ b/rules/rules.go
@@ -191,7 +191,8 @@
 		s.look(d)
 		s.rested(d)
 		for _, n := range d.special {
-			if n.opens = s.opensAt(n); max(n.opens, s.now) >= s.lastCall(n) || n.trips >= s.settings.TripLimit {
+			n.opens = s.opensAt(n)
+			if max(n.opens, s.now) >= s.lastCall(n) || n.trips >= s.settings.TripLimit {
 				late = append(late, n)
 			}
 		}
@@ -245,11 +246,11 @@
 
 // takes tells whether a route may be sent a notice now that nothing holds back.
 func (s *Sender) takes(r *route) bool {
-	return s.routeOpensAt(r) <= s.now && s.paceAt(r) <= s.now && s.roomFor(r) &&
-		slices.ContainsFunc(r.receivers, func(rc *receiver) bool { return rc.standing == Ready && s.earn(rc, 0) >= 1 })
+	may := func(rc *receiver) bool { return rc.standing == Ready && s.earn(rc, 0) >= 1 }
+	return s.routeOpensAt(r) <= s.now && s.paceAt(r) <= s.now && s.roomFor(r) && slices.ContainsFunc(r.receivers, may)
 }
 
-// outlook is how much longer than known a destination may stay away: an outage is taken to last as long again as it has.
+// outlook is how much longer than known a destination may stay away: as long again as it has, as outages go.
 func (s *Sender) outlook(d *destination) Millis {
 	least := Millis(0)
 	for i, r := range d.routes {
@@ -332,9 +333,9 @@
 	s.wait(n)
 }
 
-// shortage heeds that a call could not be sent for want of something of this sender's own (a connection, a descriptor,
-// room in its ledger). It tells nothing of the notice or of the destination: all wait, longer each time, until
-// something is handled, so that a shortage is neither asked after without end nor outlived.
+// shortage heeds that a call could not be sent for want of something of this sender's own (a connection, a
+// descriptor, room in its ledger). It tells nothing of the notice or of the destination: all wait, longer each
+// time, until something is handled, so that a shortage is neither asked after without end nor outlived.
 func (s *Sender) shortage() {
 	if s.shortUntil <= s.now {
 		s.shortFor = min(max(2*s.shortFor, s.settings.Fall/128), s.settings.Fall/4)
@@ -372,7 +373,8 @@
 	case e.Result == Full:
 		s.earn(c.receiver, 1)
 		s.refused(r, c, e.Wait)
-	case e.Result == Moot || e.Result == Short || e.Result == Cancelled && !c.off || e.Result == TimedOut && c.curbed:
+	case e.Result == Moot || e.Result == Short || e.Result == Cancelled && !c.off,
+		e.Result == TimedOut && c.curbed:
 		s.earn(c.receiver, 1)
 	default:
 		s.failure(r, c, e.Result)
@@ -449,8 +451,8 @@
 	return r.state != closed || r.run > 0 || r.owed > 1 || r.down || r.slow()
 }
 
-// doubtful tells whether a route is sick, or may be, as far as its slots go: with a call out it has answered nothing
-// yet, or nothing since its oldest call became overdue.
+// doubtful tells whether a route is sick, or may be, as far as its slots go: with a call out it has answered
+// nothing yet, or nothing since its oldest call became overdue.
 func (s *Sender) doubtful(r *route) bool {
 	return s.sick(r) || len(r.out) > 0 && (r.mean == 0 ||
 		s.now-max(r.out[0].sentAt, r.answeredAt) > max(overdue*r.mean, s.settings.Fall/32))
@@ -746,7 +748,8 @@
 		sick = sick || s.sick(o)
 	}
 	// Many that are sick at once must not hold every slot: what is well needs few, but now.
-	if most := math.Floor(doubtPart * float64(s.settings.Slots)); float64(s.doubtOut) >= max(most, 1) && s.doubtful(r) {
+	doubted := max(math.Floor(doubtPart*float64(s.settings.Slots)), 1)
+	if float64(s.doubtOut) >= doubted && s.doubtful(r) {
 		return false
 	}
 	if r.state == halfOpen {
