--- a/rules/rules.go
+++ b/rules/rules.go
@@ -247,7 +247,8 @@
 // takes tells whether a route may be sent a notice now that nothing holds back.
 func (s *Sender) takes(r *route) bool {
 	may := func(rc *receiver) bool { return rc.standing == Ready && s.earn(rc, 0) >= 1 }
-	return s.routeOpensAt(r) <= s.now && s.paceAt(r) <= s.now && s.roomFor(r) && slices.ContainsFunc(r.receivers, may)
+	opens := max(s.routeOpensAt(r), s.paceAt(r))
+	return opens <= s.now && s.roomFor(r) && slices.ContainsFunc(r.receivers, may)
 }
 
 // outlook is how much longer than known a destination may stay away: as long again as it has, as outages go.
@@ -334,8 +335,8 @@
 }
 
 // shortage heeds that a call could not be sent for want of something of this sender's own (a connection, a
-// descriptor, room in its ledger). It tells nothing of the notice or of the destination: all wait, longer each
-// time, until something is handled, so that a shortage is neither asked after without end nor outlived.
+// descriptor, room in its ledger). It tells nothing of the notice or of the destination: all wait, longer
+// each time, until something is handled, so that a shortage is neither asked after without end nor outlived.
 func (s *Sender) shortage() {
 	if s.shortUntil <= s.now {
 		s.shortFor = min(max(2*s.shortFor, s.settings.Fall/128), s.settings.Fall/4)
