Slots for doubtful routes used up free the most overdue call; the hold knows its bytes

What is held counts by its share of this sender's memory or ledger besides its number, so that few large notices for dead destinations make room too.

--- a/cmd/chutelab/load.go
+++ b/cmd/chutelab/load.go
@@ -28,6 +28,7 @@
 	rate, hang          float64
 	ramp                string
 	destinations, hold  int
+	held                int
 	sockets             int
 	senders, slots      int
 	body, rounds        int
@@ -74,6 +75,7 @@
 	f.IntVar(&l.hold, "hold", 200_000, "notices held at once, for each sender")
 	f.IntVar(&l.body, "body", 200, "bytes of a notice's body")
 	f.Float64Var(&l.hang, "hang", 0, "share of the destinations that take calls and never answer, from a fifth of the length on")
+	f.IntVar(&l.held, "held", 0, "notices for destinations that refuse, handed in before and held throughout; they don't count")
 	f.DurationVar(&l.length, "length", 8*time.Second, "how long notices come")
 	f.DurationVar(&l.mean, "mean", 0, "mean time of a call at the gateways; 0: they answer at once")
 	f.DurationVar(&l.bound, "p99", 0, "look for the rate at which p99 of delivery passes this")
@@ -90,14 +92,20 @@
 	return c
 }
 
+// heldSpan is how long the notices that are held throughout take to come.
+const heldSpan = 3 * time.Second
+
 // scenario writes the scenario of a rate.
 func (l *load) scenario(rate float64, seed int) (*scenario.Scenario, error) {
-	service := "fixed"
+	service, length, settle := "fixed", l.length, "8s"
+	if l.held > 0 {
+		length, settle = length+heldSpan+time.Second, "500ms"
+	}
 	text := fmt.Sprintf(`
 name = "load"
 seed = %d
 length = %q
-settle = "8s"
+settle = %q
 [machine]
 memory = "4GiB"
 sockets = %d
@@ -127,7 +135,27 @@
 cores = 100000
 service = %q
 mean = %q
-`, seed, l.length, l.sockets, rate, l.ramp, l.body, l.slots, l.hold, l.senders, l.destinations, service, l.mean)
+`, seed, length, settle, l.sockets, rate, l.ramp, l.body, l.slots, l.hold, l.senders, l.destinations, service, l.mean)
+	if l.held > 0 {
+		text = strings.Replace(text, "[traffic]", fmt.Sprintf("[traffic]\nfirst = %d\nfirst_group = \"dead\"\nfirst_grade = \"kept\"\nfirst_span = %q",
+			l.held, heldSpan), 1) + fmt.Sprintf(`
+[[grade]]
+name = "kept"
+quoted = "600s"
+timeout = "1800s"
+repeat = "reissuable"
+share = 0
+[[gateway]]
+name = "dead"
+destinations = 20
+weight = 0
+[[fault]]
+kind = "refuse"
+group = "dead"
+at = "0s"
+for = "1h"
+`)
+	}
 	if l.hang > 0 {
 		text += fmt.Sprintf("[[fault]]\nkind = \"hang\"\nat = %q\nfor = %q\npart = %f\n", l.length/5, l.length, l.hang)
 	}
@@ -202,7 +230,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return trial.Run(ctx, trial.Options{Scenario: sc, Start: s.start, Targets: l.targets, Platform: l.platform, PID: l.pid})
+	o := trial.Options{Scenario: sc, Start: s.start, Targets: l.targets, Platform: l.platform, PID: l.pid}
+	if l.held > 0 {
+		o.CPUFrom = millis(heldSpan + time.Second)
+	}
+	return trial.Run(ctx, o)
 }
 
 // figures are what is compared.
@@ -247,8 +279,8 @@
 // table tells medians, and with two programs the ratio of A to B over the pairs.
 func (l *load) table(sides []*side) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%.0f notices a second (%s) for %v, %d destinations, %d senders, %.2f of the destinations hang, %d rounds\n\n",
-		l.rate, l.ramp, l.length, l.destinations, l.senders, l.hang, len(sides[0].runs))
+	fmt.Fprintf(&b, "%.0f notices a second (%s) for %v, %d destinations, %d senders, %.2f of the destinations hang, %d held, %d rounds\n\n",
+		l.rate, l.ramp, l.length, l.destinations, l.senders, l.hang, l.held, len(sides[0].runs))
 	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	fmt.Fprint(t, "median of the rounds")
 	for _, s := range sides {
--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -278,7 +278,7 @@
 	first := never // of the trips that may have run
 	for i, call := range calls {
 		if i > 0 {
-			if before := calls[i-1]; before.over() > call.First+c.t.Slack && !c.away(h.Sender, before.First, call.First) {
+			if before := calls[i-1]; before.Over() > call.First+c.t.Slack && !c.away(h.Sender, before.First, call.First) {
 				c.say(Twice, h.ID, "had two trips at once")
 			}
 			if first < never && grade.Repeat == rules.AtMostOnce {
@@ -386,7 +386,7 @@
 					for _, other := range c.byID[earlier.ID] {
 						if other.First > call.First+c.t.Slack {
 							c.say(Order, later.ID, "was called before %s of the same key", earlier.ID)
-						} else if other.over() > call.First+c.t.Slack && !c.away(later.Sender, other.First, call.First) {
+						} else if other.Over() > call.First+c.t.Slack && !c.away(later.Sender, other.First, call.First) {
 							c.say(Order, later.ID, "was called while %s of the same key was out", earlier.ID)
 						}
 					}
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -54,8 +54,8 @@
 	return c.Delivered && (c.Closed == 0 || c.Closed > c.Replied+crossing)
 }
 
-// over is when the call was over for the sender, or never.
-func (c *Call) over() rules.Millis {
+// Over is when the call was over for the sender; the greatest number there is: never.
+func (c *Call) Over() rules.Millis {
 	switch {
 	case c.Replied > 0 && c.Closed > 0:
 		return min(c.Replied, c.Closed)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,7 @@
 
 const (
 	reserve  = 512 // bytes, for what is written of a notice that was taken
+	usual    = 320 // bytes, of what else is written of it: ids, times, two trips
 	headSize = 8
 	leastLen = 5
 	fileName = "ledger"
@@ -214,6 +215,11 @@
 	return l.append(n.Number, kindTaken, rest)
 }
 
+// Share is the part of the room for live notices that one with a body of so many bytes takes, as a rule.
+func (l *Ledger) Share(body int) float64 {
+	return float64(headSize+leastLen+4+usual+body) / float64(l.room*2/5)
+}
+
 // Trip writes down that a call is about to leave.
 func (l *Ledger) Trip(number rules.NoticeID, t Trip) error {
 	rest := binary.LittleEndian.AppendUint64(nil, uint64(t.At.UnixMilli()))
--- a/internal/loop/counters.go
+++ b/internal/loop/counters.go
@@ -14,6 +14,9 @@
 	Trips, Handled, Full, Errored, Lost, Unmet, Unsent int // calls, and what they came to
 	GivenUp, HandedBack, Restored                      int
 	Turns, BrokenAnswers, Reloads                      int
+	Further                                            int // trips beyond a notice's first
+	Out, Held                                          int // calls, and notices, at this moment
+	NoHold, NoBytes, NoDisk                            int // refused, parts of NoRoom: the hold limit, bodies, the ledger
 	Short, ForRoom                                     int // calls not sent for a shortage of ours; notices dismissed to make room
 	Spoilt, Beyond, Stale                              int // answers and connections that calls could not use
 	Repeated, NoRoom                                   int // refused: an id taken on before, out of room
@@ -33,6 +36,8 @@
 		slog.Int("refused_malformed", c.Malformed), slog.Int("refused_late", c.Late),
 		slog.Int("refused_leaving", c.Leaving), slog.Int("closed_silent", c.Silent),
 		slog.Int("closed_crowded", c.Crowded), slog.Int("closed_flooding", c.Flooding),
+		slog.Int("refused_hold", c.NoHold), slog.Int("refused_bodies", c.NoBytes), slog.Int("refused_ledger", c.NoDisk),
+		slog.Int("further", c.Further), slog.Int("out", c.Out), slog.Int("held", c.Held),
 		slog.Int("short", c.Short), slog.Int("dismissed_for_room", c.ForRoom),
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -41,6 +41,7 @@
 	out      bool            // a trip is out
 	recorded bool            // and the ledger has it
 	over     bool
+	trips    int // begun in this process
 }
 
 // Loop is the running sender.
@@ -134,11 +135,11 @@
 	body := l.buffers.NewChain()
 	body.Add(n.Body)
 	l.heldBytes += body.Held()
-	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, body: body}
+	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, body: body, trips: n.Trips}
 	e := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
 		Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
 		Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
-		Trips: n.Trips, Ran: len(n.Ran)}
+		Trips: n.Trips, Ran: len(n.Ran), Room: l.room(body)}
 	if len(n.Ran) > 0 {
 		e.RanAgo = millis(l.now.Sub(n.Ran[0].At))
 		e.RanZone = rules.ZoneID(settings.Index(l.config.Names.Zones, n.Ran[0].Zone))
@@ -320,6 +321,10 @@
 		l.counters.Unsent++
 	case rules.Short:
 		l.counters.Short++
+		if n.trips > 1 {
+			l.counters.Further--
+		}
+		n.trips--
 	default:
 		l.counters.Lost++
 	}
@@ -369,8 +374,12 @@
 			l.counters.Repeated++
 			l.refuse(r, 409)
 			continue
-		case hold > 0 && len(l.notices) >= hold || l.heldBytes+r.Body.Held() > l.config.Limits.HeldBytes:
-			l.counters.NoRoom++
+		case hold > 0 && len(l.notices) >= hold:
+			l.counters.NoHold++
+			l.refuse(r, 503)
+			continue
+		case l.heldBytes+r.Body.Held() > l.config.Limits.HeldBytes:
+			l.counters.NoBytes++
 			l.refuse(r, 503)
 			continue
 		}
@@ -380,11 +389,17 @@
 		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
-			Key: r.Key, Destination: r.Destination, Left: r.Left, Inherited: r.Inherited})
+			Key: r.Key, Destination: r.Destination, Left: r.Left, Inherited: r.Inherited, Room: l.room(r.Body)})
 	}
 	return taken
 }
 
+// room is the share of what this sender can hold that a notice takes: of the memory for bodies or of the ledger, whichever
+// it takes more of.
+func (l *Loop) room(body *buffers.Chain) float64 {
+	return max(float64(body.Held())/float64(l.config.Limits.HeldBytes), l.ledger.Share(body.Len()))
+}
+
 func (l *Loop) refuse(r *intake.Request, status int) {
 	if l.tracing {
 		l.log.Debug(logs.Refused, "id", r.ID, "status", status)
@@ -424,7 +439,7 @@
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
 			Until: l.now.Add(span(r.Left)), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
-			l.counters.NoRoom++
+			l.counters.NoDisk++
 			l.intake.Answer(r, 503, 0)
 			n.over = true
 			l.release(number, n)
@@ -460,6 +475,9 @@
 		}
 		n.out = true
 		l.counters.Trips++
+		if n.trips++; n.trips > 1 {
+			l.counters.Further++
+		}
 		if l.tracing {
 			l.log.Debug(logs.Trip, "id", n.id, "notice", a.Notice, "receiver", a.Receiver,
 				"address", l.receivers.Addresses[a.Receiver], "time_out", span(a.TimeOut))
@@ -509,6 +527,8 @@
 func (l *Loop) counted() Counters {
 	c := l.counters
 	c.Refusals = l.intake.Refused
+	c.NoRoom = c.NoHold + c.NoBytes + c.NoDisk
+	c.Out, c.Held = l.calls.Out(), len(l.notices)
 	c.Refused = c.Unreadable + c.Unknown + c.Malformed + c.Late + c.Leaving + c.Repeated + c.NoRoom
 	c.BrokenAnswers = l.directory.Broken
 	c.Spoilt, c.Beyond, c.Stale = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale
--- a/internal/scenario/mix.go
+++ b/internal/scenario/mix.go
@@ -41,7 +41,7 @@
 				if slices.ContainsFunc(s.Faults, func(o Fault) bool { return o.Kind == Drain || o.Kind == Vanish }) {
 					f.Kind = Refuse
 				}
-			case Kill, Stop, Freeze, Reload: // one at a time: a sender that is away can't be struck again
+			case Kill, Stop, Freeze, Reload, FewFiles: // one at a time: a sender that is away can't be struck again
 				if f.For = min(f.For, s.Length/8); from == Senders && len(s.Faults) > 0 {
 					last := s.Faults[len(s.Faults)-1]
 					if last.Strikes() == Senders && f.At < last.Until()+4500 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -42,6 +42,7 @@
 	Kill        = "kill"         // senders are killed, and start again at the end
 	Stop        = "stop"         // senders are told to leave, and start again once they have, not before the end
 	Freeze      = "freeze"       // senders stand still
+	FewFiles    = "few-files"    // senders may open only a few descriptors more
 	Reload      = "reload"       // senders are told to read a configuration that is garbage, and at the end a good one
 	Hostile     = "hostile"      // bad clients beside the usual ones
 	Burst       = "burst"        // more notices than usual
@@ -97,6 +98,14 @@
 	Keys      int
 	Again     float64
 	Patience  rules.Millis
+	First     First
+}
+
+// First is notices that come before all others for the destinations of a group.
+type First struct {
+	Count        int
+	Group, Grade string
+	Span         rules.Millis
 }
 
 // Group is destinations that are alike.
@@ -181,11 +190,15 @@
 	for _, e := range entries {
 		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
 	}
-	return names
+	return append(names, SickSet()...)
 }
 
 // Load reads a scenario: one that comes with the program by its name, any other by its file.
 func Load(name string) (*Scenario, error) {
+	if text, ok := sick(name); ok {
+		s, faults := Read(name, []byte(text))
+		return s, faults.Or()
+	}
 	text, err := builtin.ReadFile("builtin/" + name + ".toml")
 	path := name
 	if err != nil {
@@ -208,7 +221,9 @@
 			DiskMB: machine.Number("disk") / 1e6, Cores: machine.Number("cores")},
 		Traffic: Traffic{Rate: traffic.Number("rate"), Shape: traffic.Text("shape"), Zipf: traffic.Number("zipf"),
 			Clumps: traffic.Number("clumps"), Clump: traffic.Int("clump"), ClumpSpan: span(traffic, "clump_span"),
-			Body: traffic.Int("body"), Keys: traffic.Int("keys"), Again: traffic.Number("again"), Patience: span(traffic, "patience")},
+			Body: traffic.Int("body"), Keys: traffic.Int("keys"), Again: traffic.Number("again"), Patience: span(traffic, "patience"),
+			First: First{Count: traffic.Int("first"), Group: traffic.Text("first_group"), Grade: traffic.Text("first_grade"),
+				Span: span(traffic, "first_span")}},
 		ListDelay: span(f.One("platform"), "delay"), Senders: f.One("senders").Int("count"), FrontNotice: span(f.One("senders"), "notice")}
 	s.Settings, s.Names = config.Read(f)
 	s.Settings.Senders = s.Senders
@@ -237,6 +252,14 @@
 		groups[g.Name] = true
 		s.Groups = append(s.Groups, g)
 	}
+	if first := s.Traffic.First; first.Count > 0 {
+		if !groups[first.Group] {
+			f.Wrong(traffic, "first_group", fmt.Sprintf("no [[gateway]] has the name %q", first.Group), "one that has")
+		}
+		if !slices.Contains(s.Names.Grades, first.Grade) {
+			f.Wrong(traffic, "first_grade", fmt.Sprintf("no [[grade]] has the name %q", first.Grade), "one of "+strings.Join(s.Names.Grades, ", "))
+		}
+	}
 	for _, b := range f.All("fault") {
 		x := Fault{Kind: b.Text("kind"), At: span(b, "at"), For: span(b, "for"), Part: b.Number("part"), Group: b.Text("group"),
 			Busiest: b.Flag("busiest"), Grade: b.Text("grade"), Share: b.Number("share"), Size: b.Number("size"), Each: span(b, "each")}
--- a/internal/scenario/table.go
+++ b/internal/scenario/table.go
@@ -12,7 +12,7 @@
 	Dribble: Destinations, Pauses: Destinations, LowLimit: Destinations, Flap: Destinations,
 	Drain: Destinations, Vanish: Destinations,
 	ListSilent: Platforms, ListGarbage: Platforms, EndsRefused: Platforms,
-	Kill: Senders, Stop: Senders, Freeze: Senders, Reload: Senders,
+	Kill: Senders, Stop: Senders, Freeze: Senders, Reload: Senders, FewFiles: Senders,
 	Hostile: Clients, Burst: Clients,
 }
 
@@ -42,6 +42,10 @@
 		{Name: "body", Kind: conf.Size, Default: `"200B"`, Max: 65_536, Doc: "size of a notice's body"},
 		{Name: "keys", Kind: conf.Count, Default: "0", Max: 1e9, Doc: "distinct keys of the grades that keep order; 0: notices carry none"},
 		{Name: "again", Kind: conf.Share, Default: "1", Doc: "share of the dismissed notices that come again while there is time"},
+		{Name: "first", Kind: conf.Count, Default: "0", Max: 10_000_000, Doc: "notices that come evenly in the first `first_span`, beside the others"},
+		{Name: "first_group", Kind: conf.Text, Doc: "the group of destinations that they are for, in turn"},
+		{Name: "first_grade", Kind: conf.Text, Doc: "their grade"},
+		{Name: "first_span", Kind: conf.Span, Default: `"1s"`, Min: 1, Max: 3_600_000, Doc: "how long they take to come"},
 		{Name: "patience", Kind: conf.Span, Default: `"400ms"`, Min: 1, Max: 600_000, Doc: "how long a client waits for the answer"},
 	}},
 	{Name: "platform", Doc: "The platform that tells the list and takes the notices of ends.", Keys: []conf.Key{
@@ -81,7 +85,7 @@
 		{Name: "busiest", Kind: conf.Flag, Default: "false", Doc: "strikes those asked for most; else they are drawn"},
 		{Name: "grade", Kind: conf.Text, Doc: "only calls of this grade; empty: all"},
 		{Name: "share", Kind: conf.Share, Default: "1", Doc: "share of the calls that it strikes"},
-		{Name: "size", Kind: conf.Number, Default: "1", Max: 1e6, Doc: "`slow`: times as long; `low-limit`: share of the limit that is left; `hostile`: clients at once; `burst`: times the rate"},
+		{Name: "size", Kind: conf.Number, Default: "1", Max: 1e6, Doc: "`slow`: times as long; `low-limit`: share of the limit that is left; `hostile`: clients at once; `burst`: times the rate; `few-files`: descriptors more"},
 		{Name: "each", Kind: conf.Span, Default: `"1s"`, Min: 1, Max: 3_600_000, Doc: "`pauses`, `flap`: how often it begins anew; it lasts half of that"},
 	}},
 }, sending()...)
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -139,12 +139,29 @@
 func (w *World) Arrivals() *Arrivals {
 	a := &Arrivals{w: w, draw: Chance(w.Seed, streamArrivals), clumps: Chance(w.Seed, streamClumps), clump: rules.Millis(math.Inf(1))}
 	a.next = a.after(0, a.draw, w.Traffic.Rate*(1-w.Traffic.Clumps))
+	a.first()
 	if w.Traffic.Clumps > 0 {
 		a.clump = a.after(0, a.clumps, w.Traffic.Rate*w.Traffic.Clumps/float64(w.Traffic.Clump))
 	}
 	return a
 }
 
+// first puts the notices that come before all others among those that come later: by heap, as clumps do.
+func (a *Arrivals) first() {
+	first := a.w.Traffic.First
+	var to []int
+	for _, d := range a.w.Destinations {
+		if d.Group.Name == first.Group {
+			to = append(to, d.Number)
+		}
+	}
+	grade := slices.Index(a.w.Names.Grades, first.Grade)
+	for i := range first.Count {
+		a.later = append(a.later, Arrival{At: first.Span * rules.Millis(i) / rules.Millis(first.Count), Destination: to[i%len(to)],
+			Grade: grade, Body: a.w.Traffic.Body})
+	}
+}
+
 // factor is the rate at a time, against the mean one.
 func (w *World) factor(at rules.Millis) float64 {
 	x, f := float64(at/w.Length), 1.0
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -22,6 +22,7 @@
 	"chuteweir.example/chuteweir/internal/logs"
 	"chuteweir.example/chuteweir/internal/standin"
 	"chuteweir.example/chuteweir/rules"
+	"golang.org/x/sys/unix"
 )
 
 // Start makes the command that starts a sender by a configuration file and a lasting folder.
@@ -261,6 +262,48 @@
 	return used
 }
 
+// limitFiles lets the process open only so many descriptors more than it holds; below 0: as many as ever.
+func (s *Sender) limitFiles(more int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.running() {
+		return nil
+	}
+	pid := s.command.Process.Pid
+	var limit unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &limit); err != nil {
+		return fmt.Errorf("reading a sender's limit of descriptors: %w", err)
+	}
+	if limit.Cur = limit.Max; more >= 0 {
+		_, held, err := usage(pid)
+		if err != nil {
+			return fmt.Errorf("counting a sender's descriptors: %w", err)
+		}
+		limit.Cur = uint64(held + more)
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		return fmt.Errorf("limiting a sender's descriptors: %w", err)
+	}
+	return nil
+}
+
+// counter asks the sender for one of its counters; a sender that is away, or a program that has none, tells nothing.
+func (s *Sender) counter(name string) (value int, told bool) {
+	client := &http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + s.address + "/counters")
+	if err != nil {
+		return 0, false
+	}
+	defer answer.Body.Close()
+	for in := bufio.NewScanner(io.LimitReader(answer.Body, 64<<10)); in.Scan(); {
+		if text, found := strings.CutPrefix(in.Text(), "chuteweir_"+name+" "); found {
+			value, err := strconv.Atoi(text)
+			return value, err == nil
+		}
+	}
+	return 0, false
+}
+
 // usage is a process's resident memory in bytes and its descriptors.
 func usage(pid int) (rss int64, fds int, err error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -55,6 +55,7 @@
 	BrokenOff  int                     `json:"broken_off"`
 	Calls      int                     `json:"calls"`
 	CallsFull  int                     `json:"calls_full"`
+	Further    int                     `json:"further"`        // calls for a notice beyond its first that a gateway saw
 	Second     int                     `json:"second_effects"` // of at-most-once notices
 	Answers    Times                   `json:"answers_ms"`
 	Turns      []Turn                  `json:"breaker_turns"`
@@ -104,7 +105,7 @@
 	r := &Result{Scenario: w.Name, Seed: w.Seed, Senders: w.Senders, Seconds: handed.Seconds(), Answers: times(answers),
 		LateOffers: int(t.clients.Late.Load()), Bad: int(t.clients.Bad.Load()), Breaches: t.breaches(until), World: w, Held: t.held}
 	r.View = t.stage.Record.View()
-	delivered, ran := map[string]rules.Millis{}, map[string]int{}
+	delivered, ran, calls := map[string]rules.Millis{}, map[string]int{}, map[string]bool{}
 	hands := map[string]*audit.Hand{}
 	for i := range r.View.Hands {
 		hands[r.View.Hands[i].ID] = &r.View.Hands[i]
@@ -119,6 +120,10 @@
 		if h == nil {
 			continue
 		}
+		if calls[c.ID] {
+			r.Further++
+		}
+		calls[c.ID] = true
 		if c.Ran && w.Settings.Grades[h.Grade].Repeat == rules.AtMostOnce {
 			if ran[h.Effect]++; ran[h.Effect] > 1 {
 				r.Second++
@@ -133,7 +138,7 @@
 	for i, name := range w.Names.Grades {
 		grades[i] = newTally(name)
 	}
-	seen := map[string]bool{}
+	seen, served := map[string]bool{}, 0
 	for i := range r.View.Hands {
 		h := &r.View.Hands[i]
 		r.Handed++
@@ -149,13 +154,16 @@
 			continue
 		}
 		seen[h.Effect] = true
+		if h.Intended >= t.CPUFrom {
+			served++
+		}
 		at, ok := delivered[h.Effect]
 		asked, earned := w.Settings.Grades[h.Grade].Credit, 0.0
 		if ok {
 			earned = w.Worth(h.Grade, at-h.Intended)
 		}
 		part := well
-		if len(w.Destinations[h.Dest-1].Faults) > 0 {
+		if t.isSick(h.Dest) {
 			part = sick
 		}
 		for _, to := range []*tally{all, grades[h.Grade], part} {
@@ -188,12 +196,20 @@
 	}
 	r.PeakRSS, r.PeakFDs = max(r.PeakRSS, t.rss), max(r.PeakFDs, t.fds)
 	slices.SortStableFunc(r.Turns, func(a, b Turn) int { return cmp.Compare(a.At, b.At) })
-	if r.All.Asked > 0 {
-		r.CPU = float64(used.Microseconds()) / float64(r.All.Asked)
+	if served > 0 {
+		r.CPU = float64(used.Microseconds()) / float64(served)
 	}
 	return r
 }
 
+// isSick tells whether a destination counts as sick.
+func (t *trial) isSick(destination int) bool {
+	if t.Sick != nil {
+		return t.Sick(destination)
+	}
+	return len(t.stage.World.Destinations[destination-1].Faults) > 0
+}
+
 // Clean tells whether no rule was broken.
 func (r *Result) Clean() bool { return len(r.Breaches) == 0 }
 
@@ -212,7 +228,8 @@
 	t.Flush()
 	fmt.Fprintf(out, "\nhand-ins %d: taken %d, refused %d, unanswered %d; of those taken, dismissed %d, broken off %d\n",
 		r.Handed, r.Taken, r.Refused, r.Unanswered, r.Dismissed, r.BrokenOff)
-	fmt.Fprintf(out, "calls %d, turned away %d; second effects of at-most-once notices %d\n", r.Calls, r.CallsFull, r.Second)
+	fmt.Fprintf(out, "calls %d, turned away %d, %d of them further calls for a notice; second effects of at-most-once notices %d\n",
+		r.Calls, r.CallsFull, r.Further, r.Second)
 	fmt.Fprintf(out, "answers to clients p50 %.1f ms, p99 %.1f ms; CPU %.0f us a notice, at most %.1f MB and %d descriptors a sender\n",
 		r.Answers.P50, r.Answers.P99, r.CPU, float64(r.PeakRSS)/1e6, r.PeakFDs)
 	if r.Bad > 0 {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -32,7 +32,11 @@
 	Targets  []string
 	Platform string
 	PID      int // of the process whose processor time and memory count, with Targets
-	Prepare  func(*standin.Stage, *standin.Gateways, *standin.Platform)
+	// CPUFrom is the time in the scenario from which on processor time counts, and the notices that it is shared by.
+	CPUFrom rules.Millis
+	// Sick tells which destinations count as sick in the result; nil: those that a fault strikes.
+	Sick    func(destination int) bool
+	Prepare func(*standin.Stage, *standin.Gateways, *standin.Platform)
 }
 
 // Progress is how far a run has come.
@@ -109,9 +113,18 @@
 	}
 	stop := context.AfterFunc(ctx, stage.Close)
 	defer stop()
-	before := t.used()
+	t.usedBefore = t.used()
 	began := time.Now()
 	stage.Clock.Begin()
+	if o.CPUFrom > 0 {
+		go func() {
+			if stage.At(o.CPUFrom) {
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				t.usedBefore = t.used()
+			}
+		}()
+	}
 	watched := make(chan struct{})
 	go func() { t.watch(); close(watched) }()
 	var scripts sync.WaitGroup
@@ -151,7 +164,7 @@
 	<-watched
 	mu.Lock()
 	defer mu.Unlock()
-	return t.result(answers, handed, used-before, until), nil
+	return t.result(answers, handed, used-t.usedBefore, until), nil
 }
 
 type trial struct {
@@ -163,14 +176,17 @@
 	mu       sync.Mutex
 	faults   []error
 	held     []Point
-	rss      int64 // of PID
-	fds      int
+	// usedBefore is the processor time that does not count.
+	usedBefore time.Duration
+	rss        int64 // of PID
+	fds        int
 }
 
-// Point is how much was held at a time.
+// Point is how much was held at a time, and how many calls the senders said were out.
 type Point struct {
 	At   rules.Millis `json:"at"`
 	Open int          `json:"open"`
+	Out  int          `json:"out"`
 }
 
 // used is the processor time of all senders so far.
@@ -234,12 +250,16 @@
 	for {
 		now := t.stage.Clock.Now()
 		open := t.stage.Record.Open()
-		t.mu.Lock()
-		t.held = append(t.held, Point{now, open})
-		t.mu.Unlock()
+		out := 0
 		for _, s := range t.senders {
 			s.sample()
+			if n, told := s.counter("out"); told {
+				out += n
+			}
 		}
+		t.mu.Lock()
+		t.held = append(t.held, Point{now, open, out})
+		t.mu.Unlock()
 		if t.PID > 0 {
 			if rss, fds, err := usage(t.PID); err == nil {
 				t.mu.Lock()
@@ -287,6 +307,14 @@
 		t.stage.At(f.Until())
 		s.signal(syscall.SIGCONT)
 		s.life("going on")
+	case scenario.FewFiles:
+		if err := s.limitFiles(int(f.Size)); err != nil {
+			t.fault(err)
+		}
+		t.stage.At(f.Until())
+		if err := s.limitFiles(-1); err != nil {
+			t.fault(err)
+		}
 	case scenario.Reload:
 		if err := os.WriteFile(s.path, []byte(`{"listen": "127.0.0.1:`), 0o600); err != nil {
 			t.fault(err)
--- a/rules/api.go
+++ b/rules/api.go
@@ -124,8 +124,9 @@
 		Portfolio   PortfolioID
 		Key         KeyID // 0: none
 		Destination DestinationID
-		Left        Millis // until the client timeout
-		Inherited   bool   // another sender held it and died
+		Left        Millis  // until the client timeout
+		Inherited   bool    // another sender held it and died
+		Room        float64 // share of the room for notices at this sender (memory, ledger) that it takes
 
 		// Of a notice that this sender held before it was started anew.
 		Trips, Ran int    // made, and those of them that may have run
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,7 +43,7 @@
 	farWorse    = 3.0      // so many times what is lost on others
 	keeping     = 1.5      // calls while an idle connection would last, that make it worth keeping
 	evenKeeping = 0.25     // the same, for each sender, where connections are refused
-	crowded     = 1.0 / 32 // of the calls to a kind: more refused connections are too many
+	tooMany     = 1.0 / 32 // of the calls to a kind: more refused connections are too many
 	fewCalls    = 8        // too little to know a kind by
 
 	never = Millis(math.MaxFloat64)
@@ -53,6 +53,7 @@
 func New(seed uint64, settings Settings) *Sender {
 	s := remember(seed, settings)
 	s.credits = max(math.Ceil(creditPart*float64(settings.Slots)), 2)
+	s.doubted = max(int(doubtPart*float64(settings.Slots)), 1)
 	if settings.ListOnAsk {
 		s.watchAt = 0
 	}
@@ -119,7 +120,8 @@
 	if int(e.Grade) < len(s.grades) {
 		g = s.grades[e.Grade]
 	}
-	n := &notice{id: e.Notice, grade: g, destination: s.destination(e.Destination), until: s.now + e.Left}
+	n := &notice{id: e.Notice, grade: g, destination: s.destination(e.Destination), until: s.now + e.Left,
+		room: e.Room}
 	handedIn := n.until - g.ClientTimeout
 	n.quotedAt = handedIn + g.QuotedTime
 	n.credit = g.Credit * s.shareWorth(e.Portfolio)
@@ -265,11 +267,16 @@
 	return least
 }
 
+// crowded tells whether what is held nearly fills the hold limit, or this sender's own room for it.
+func (s *Sender) crowded() bool {
+	limit := s.settings.HoldLimit
+	return limit > 0 && float64(s.held) > nearlyFull*float64(limit) || s.roomTaken > nearlyFull
+}
+
 // makeRoom guards against a hold full of notices that wait for shut destinations: those that promise least go
 // back to their clients, which may come again, before newcomers for others are turned away unseen.
 func (s *Sender) makeRoom() {
-	spare := int(nearlyFull*float64(s.settings.HoldLimit)) - s.held
-	if s.settings.HoldLimit == 0 || spare >= 0 {
+	if !s.crowded() {
 		return
 	}
 	var stuck []*notice
@@ -285,8 +292,8 @@
 	slices.SortFunc(stuck, func(a, b *notice) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.order, b.order))
 	})
-	for _, n := range stuck[:min(-spare, len(stuck))] {
-		s.end(n, n.opens, true)
+	for i := 0; i < len(stuck) && s.crowded(); i++ {
+		s.end(stuck[i], stuck[i].opens, true)
 	}
 }
 
@@ -407,7 +414,7 @@
 func (s *Sender) keeps(rc *receiver) bool {
 	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
 	calls := made.calls.read(s.now, statisticsWindow)
-	if made.broke.read(s.now, statisticsWindow) <= crowded*(calls-fewCalls) {
+	if made.broke.read(s.now, statisticsWindow) <= tooMany*(calls-fewCalls) {
 		often = min(often, keeping)
 	}
 	return rc.used.read(s.now, s.settings.IdleKept) >= often
@@ -620,7 +627,7 @@
 			}
 		}
 	}
-	if len(s.waiting) > 0 && s.slotsOut >= s.settings.Slots {
+	if len(s.waiting) > 0 && (s.slotsOut >= s.settings.Slots || s.doubtOut >= s.doubted) {
 		s.freeSlot()
 	}
 }
@@ -631,8 +638,8 @@
 }
 
 // freeSlot guards against calls that are swallowed and hold every slot until they time out: when slots run
-// out, the call that is most overdue is called off. Where a quarter of them wait for calls that are overdue
-// by what calls take, answers get lost, and a quoted time is too long to wait for each.
+// out, or those for doubtful routes, the call that is most overdue is called off. Where a quarter of them
+// wait for calls that are overdue by what calls take, answers get lost, and a quoted time is too long.
 func (s *Sender) freeSlot() {
 	var worst, lost *call
 	most, mostLost, late := hopeless, hopeless, 0
@@ -749,8 +756,7 @@
 		sick = sick || s.sick(o)
 	}
 	// Many that are sick at once must not hold every slot: what is well needs few, but now.
-	doubted := max(math.Floor(doubtPart*float64(s.settings.Slots)), 1)
-	if float64(s.doubtOut) >= doubted && s.doubtful(r) {
+	if s.doubtOut >= s.doubted && s.doubtful(r) {
 		return false
 	}
 	if r.state == halfOpen {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -532,6 +532,56 @@
 	t.take(1, NoticeTaken{Destination: 0, Grade: 2})
 }
 
+func TestSwallowedByMany(tt *testing.T) {
+	settings := madeUp()
+	settings.Slots, settings.HoldLimit, settings.CallOff = 16, 1000, true
+	var list []Entry
+	for d := range DestinationID(8) {
+		list = append(list, entry(ReceiverID(10*d), d+1))
+	}
+	t := start(tt, settings, list...)
+	t.quiet = true
+	for d := range DestinationID(8) {
+		for range 3 {
+			t.take(1, NoticeTaken{Destination: d + 1})
+			t.answer(Handled)
+		}
+	}
+	t.note("after one reset each, every destination swallows its calls: the slots for doubtful ones fill, and the most " +
+		"overdue is called off")
+	for d := range DestinationID(8) {
+		t.take(1, NoticeTaken{Destination: d + 1})
+		t.answer(Reset)
+	}
+	for range 60 {
+		for d := range DestinationID(8) {
+			t.take(1, NoticeTaken{Destination: d + 1})
+		}
+		for _, id := range t.calledOff {
+			t.turn(TripEnded{Notice: id, Result: Cancelled, Spent: 1000})
+		}
+		t.calledOff = nil
+		t.pass(50)
+	}
+	t.say("%d slots of %d are held", t.sender.slotsOut, settings.Slots)
+}
+
+func TestRoomAtThisSender(tt *testing.T) {
+	settings := madeUp()
+	settings.WholeGoal = 1
+	t := start(tt, settings, entry(10, 1), entry(20, 2))
+	t.note("few notices with much of this sender's memory or ledger fill it as many do: the least promising goes back")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Full, wait(8000))
+	t.take(2, NoticeTaken{Destination: 1, Grade: 2, Room: 0.3})
+	t.take(1, NoticeTaken{Destination: 1, Room: 0.25})
+	t.take(1, NoticeTaken{Destination: 2, Room: 0.1})
+	t.note("a large one that is handled gives its room back")
+	t.answer(Handled)
+	t.take(1, NoticeTaken{Destination: 1, Grade: 2, Room: 0.29})
+	t.take(1, NoticeTaken{Destination: 2, Grade: 2, Room: 0.1})
+}
+
 func TestRoomForWhatMayGo(tt *testing.T) {
 	settings := madeUp()
 	settings.HoldLimit, settings.WholeGoal, settings.Slots = 10, 1, 2
--- a/rules/state.go
+++ b/rules/state.go
@@ -138,7 +138,7 @@
 	grade                      *grade
 	destination                *destination
 	key                        KeyID
-	credit, urgency            float64
+	credit, urgency, room      float64
 	quotedAt, until, restUntil Millis
 	trips, ran                 int // and those that may have run
 	out                        *call
@@ -188,6 +188,7 @@
 	actions      []Action
 	notices      map[NoticeID]*notice
 	held         int            // notices that are not over
+	roomTaken    float64        // by them, of the room at this sender
 	taken        uint64         // notices so far
 	waiting      []*destination // with notices that wait
 	stirred      []*route       // with calls out or a breaker that is not closed, by order
@@ -201,6 +202,7 @@
 	grades       []*grade
 	credits      float64 // of a receiver, at most
 	slotsOut     int
+	doubted      int     // slots that all doubtful routes may hold together
 	doubtOut     int     // calls out at routes that were doubtful as the turn began, and those sent to such since
 	shortUntil   Millis  // nothing is sent, for a shortage of this sender's own
 	shortFor     Millis  // the last such pause
@@ -286,6 +288,7 @@
 	n.order = s.taken
 	s.notices[n.id] = n
 	s.held++
+	s.roomTaken += n.room
 	n.destination.held++
 	s.wait(n)
 }
@@ -399,6 +402,9 @@
 	if !n.over {
 		n.over = true
 		s.held--
+		if s.roomTaken -= n.room; s.held == 0 {
+			s.roomTaken = 0 // what rounding left
+		}
 	}
 	if n.out != nil {
 		return
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -19,7 +19,9 @@
 	quiet  bool // leaves sends out of the text
 	timers bool // puts timers in
 	due    Millis
-	text   strings.Builder
+	// calledOff is the calls given up, whose outcome the test may tell.
+	calledOff []NoticeID
+	text      strings.Builder
 }
 
 // madeUp is a deployment of the tests' own: two destinations, destination 1 with two receivers.
@@ -72,6 +74,7 @@
 		case Turned:
 			t.say("log %s", a)
 		case CallOff:
+			t.calledOff = append(t.calledOff, a.Notice)
 			t.say("call off %d, trip %d", a.Notice, a.Trip)
 		case LetGo:
 			t.say("let go of idle connections to %d", a.Receiver)
