--- a/rules/rules.go
+++ b/rules/rules.go
@@ -438,9 +438,8 @@
 
 // measure moves the delay window.
 func (s *Sender) measure(r *route, spent Millis) {
-	r.delays.add(s.now, s.settings.Fall, float64(spent))
-	r.answers.add(s.now, s.settings.Fall, 1)
-	r.mean = Millis(r.delays.value / r.answers.value)
+	r.mean = r.delays.add(s.now, s.settings.Fall, spent)
+	s.usual = s.delays.add(s.now, s.settings.Fall, spent)
 	if r.best == 0 || r.mean < r.best {
 		r.best = r.mean
 	}
@@ -639,7 +638,8 @@
 
 // freeSlot guards against calls that are swallowed and hold every slot until they time out: when slots run
 // out, or those for doubtful routes, the call that is most overdue is called off. Where a quarter of them
-// wait for calls that are overdue by what calls take, answers get lost, and a quoted time is too long.
+// wait for calls that are overdue by what calls take (at a route that has answered none: by what they take
+// elsewhere), answers get lost, and a quoted time is too long.
 func (s *Sender) freeSlot() {
 	var worst, lost *call
 	most, mostLost, late := hopeless, hopeless, 0
@@ -651,11 +651,11 @@
 			if age := float64((s.now - c.sentAt) / c.patience); age > most {
 				worst, most = c, age
 			}
-			age := float64((s.now - c.sentAt) / (overdue * r.mean))
-			if r.mean > 0 && age > 1 {
+			age := float64((s.now - c.sentAt) / (overdue * cmp.Or(r.mean, s.usual, never)))
+			if age > 1 {
 				late++
 			}
-			if r.mean > 0 && age > mostLost {
+			if age > mostLost {
 				lost, mostLost = c, age
 			}
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -566,6 +566,29 @@
 	t.say("%d slots of %d are held", t.sender.slotsOut, settings.Slots)
 }
 
+func TestSwallowedUnseen(tt *testing.T) {
+	settings := madeUp()
+	settings.HoldLimit, settings.CallOff = 1000, true
+	var list []Entry
+	for d := range DestinationID(20) {
+		list = append(list, entry(ReceiverID(10*d), d+1))
+	}
+	t := start(tt, settings, list...)
+	t.note("one destination has answered in 100 ms; calls to others that never have, and hold every slot, are measured by that")
+	t.take(1, NoticeTaken{Destination: 1})
+	t.answer(Handled)
+	for d := range DestinationID(10) {
+		t.take(1, NoticeTaken{Destination: d + 2})
+	}
+	for range 30 {
+		for _, id := range t.calledOff {
+			t.turn(TripEnded{Notice: id, Result: Cancelled, Spent: 1000})
+		}
+		t.calledOff = nil
+		t.pass(50)
+	}
+}
+
 func TestRoomAtThisSender(tt *testing.T) {
 	settings := madeUp()
 	settings.WholeGoal = 1
--- a/rules/state.go
+++ b/rules/state.go
@@ -31,6 +31,16 @@
 
 func (d *sum) add(now, span Millis, x float64) { d.value = d.read(now, span) + x }
 
+// delays is how long answers take, the older the less each counts.
+type delays struct{ spent, answers sum }
+
+// add counts one more and returns the mean.
+func (d *delays) add(now, span, spent Millis) Millis {
+	d.spent.add(now, span, float64(spent))
+	d.answers.add(now, span, 1)
+	return Millis(d.spent.value / d.answers.value)
+}
+
 type outcome struct {
 	at     Millis
 	failed bool
@@ -82,7 +92,7 @@
 	reopenAt               Millis
 	proved, run            int     // trials succeeded; failures since the last success
 	owed                   float64 // how overdue its calls are together, in patiences
-	delays, answers        sum
+	delays                 delays
 	mean, best, answeredAt Millis
 	window                 float64
 	waitUntil, backoff     Millis
@@ -202,6 +212,8 @@
 	grades       []*grade
 	credits      float64 // of a receiver, at most
 	slotsOut     int
+	delays       delays
+	usual        Millis  // mean delay of all recent answers
 	doubted      int     // slots that all doubtful routes may hold together
 	doubtOut     int     // calls out at routes that were doubtful as the turn began, and those sent to such since
 	shortUntil   Millis  // nothing is sent, for a shortage of this sender's own
