--- /dev/null
+++ b/cmd/chutelab/lab.go
@@ -0,0 +1,527 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"chuteweir.example/chuteweir/internal/chart"
+	"chuteweir.example/chuteweir/internal/cli"
+	"chuteweir.example/chuteweir/internal/lab"
+	"chuteweir.example/chuteweir/internal/model"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+)
+
+// labFlags are what all commands of the laboratory take.
+type labFlags struct {
+	scenario        string
+	seed            uint64
+	seeds, parallel int
+	audit           bool
+	rows, out, name string
+	network         model.Network
+	delay, jitter   time.Duration
+}
+
+func (l *labFlags) add(c *cobra.Command, seeds int) {
+	f := c.Flags()
+	f.StringVar(&l.scenario, "scenario", "calm", "a scenario's file, or the name of one that comes with the program")
+	f.Uint64Var(&l.seed, "seed", 1, "the first seed")
+	f.IntVar(&l.seeds, "seeds", seeds, "how many seeds")
+	f.IntVar(&l.parallel, "parallel", runtime.GOMAXPROCS(0), "runs at a time; results don't depend on it")
+	f.BoolVar(&l.audit, "audit", false, "check the six rules on each run")
+	f.StringVar(&l.rows, "rows", "", "a file to add the runs to, a JSON line each")
+	f.StringVar(&l.out, "out", "", "a folder for the report and its charts")
+	f.StringVar(&l.name, "name", c.Name(), "with --out: the name of their files")
+	f.DurationVar(&l.delay, "delay", 100*time.Microsecond, "least time of a message, one way")
+	f.DurationVar(&l.jitter, "jitter", 50*time.Microsecond, "mean of what comes on top of it")
+	f.Float64Var(&l.network.Loss, "loss", 0, "share of the messages that the network must send again")
+}
+
+func (l *labFlags) plan(ways []lab.Way, c *cobra.Command) lab.Plan {
+	l.network.Delay, l.network.Jitter = millis(l.delay), millis(l.jitter)
+	total, done, began := len(ways)*l.seeds, 0, time.Now()
+	p := lab.Plan{Scenario: l.scenario, Ways: ways, Seeds: lab.Seeds(l.seed, l.seeds), Parallel: l.parallel, Record: l.audit,
+		Network: l.network, Command: "chutelab " + strings.Join(os.Args[1:], " ")}
+	if term.IsTerminal(int(os.Stderr.Fd())) {
+		p.Done = func(lab.Row) {
+			done++
+			fmt.Fprintf(c.ErrOrStderr(), "\r\x1b[K%d of %d runs, %.0f s", done, total, time.Since(began).Seconds())
+			if done == total {
+				fmt.Fprint(c.ErrOrStderr(), "\r\x1b[K")
+			}
+		}
+	}
+	return p
+}
+
+// finish keeps what was done, also of a plan that was broken off, and writes the report.
+func (l *labFlags) finish(out io.Writer, rows []lab.Row, runErr error, report func() (string, error)) error {
+	if l.rows != "" && len(rows) > 0 {
+		if err := lab.Keep(l.rows, rows); err != nil {
+			return errors.Join(runErr, err)
+		}
+	}
+	if runErr != nil && !errors.Is(runErr, lab.ErrEnded) {
+		return runErr
+	}
+	if len(rows) > 0 {
+		text, err := report()
+		if err != nil {
+			return errors.Join(runErr, err)
+		}
+		fmt.Fprint(out, text)
+		if l.out != "" {
+			if err := os.MkdirAll(l.out, 0o755); err != nil {
+				return fmt.Errorf("keeping the report: %w", err)
+			}
+			text = fmt.Sprintf("    chutelab %s\n\nThe model's figures, revision %s.\n\n%s", strings.Join(os.Args[1:], " "), rows[0].Revision, text)
+			if err := os.WriteFile(filepath.Join(l.out, l.name+".md"), []byte(text), 0o644); err != nil {
+				return fmt.Errorf("keeping the report: %w", err)
+			}
+		}
+	}
+	if runErr != nil {
+		return runErr
+	}
+	for _, r := range rows {
+		if r.Way == "ours" && r.Result != nil && len(r.Result.Breaches) > 0 {
+			return fmt.Errorf("seed %d broke a rule: %s", r.Seed, r.Result.Breaches[0])
+		}
+	}
+	return nil
+}
+
+func labCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "lab", Short: "Try settings, policies and scenarios in simulated time, with error bars",
+		Long: `lab plays scenarios in the model: the sender's own decisions among simulated clients, network, gateways and platform. Its
+figures are the model's; docs/lab.md tells how far they were held against sockets. Ctrl-C keeps the runs that are done.`,
+	}
+	c.AddCommand(labRun(), labCompare(), labSweep(), labSearch(), labReport(), labTruth())
+	return c
+}
+
+func interruptible(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+}
+
+func labRun() *cobra.Command {
+	var l labFlags
+	var way string
+	var workers int
+	c := &cobra.Command{
+		Use: "run", Short: "Play one scenario over many seeds", Args: cli.Args(cobra.NoArgs),
+		Example: `  chutelab lab run --scenario mixed --seeds 100 --audit
+  chutelab lab run --scenario sick-half-hang --way policy=backoff,sending.slots=20
+  chutelab lab run --scenario my.toml --seeds 20 --rows before.jsonl`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := interruptible(c)
+			defer stop()
+			w, err := lab.ParseWay(way)
+			if err != nil {
+				return cli.Misused("%s", err)
+			}
+			if workers > 1 { // one large run on many processors
+				s, err := w.Scenario(l.scenario, l.seed)
+				if err != nil {
+					return err
+				}
+				policy, err := model.PolicyOf(w.Policy, s)
+				if err != nil {
+					return err
+				}
+				l.network.Delay, l.network.Jitter = millis(l.delay), millis(l.jitter)
+				r := model.Run(ctx, s, model.Options{Policy: policy, Workers: workers, Record: l.audit, Network: l.network})
+				var mem runtime.MemStats
+				runtime.ReadMemStats(&mem)
+				fmt.Fprintf(c.OutOrStdout(), "%d senders, %d destinations, %.0f s simulated in %.1f s on %d workers: %d notices, %d events, "+
+					"%.2f M events a second, %.1f GB from the system\ncredit %.4f, delivered %d, calls %d, further %d, p50 %.1f p99 %.1f ms\n",
+					s.Senders, len(scenario.Lay(s).Destinations), float64(s.Length)/1000, r.Wall.Seconds(), workers, r.All.Asked, r.Events,
+					float64(r.Events)/r.Wall.Seconds()/1e6, float64(mem.Sys)/1e9, r.All.Credit, r.All.Delivered, r.Calls, r.Further,
+					r.All.Delivery.P50, r.All.Delivery.P99)
+				if r.Broken {
+					return lab.ErrEnded
+				}
+				return nil
+			}
+			rows, err := l.plan([]lab.Way{w}, c).Run(ctx)
+			return l.finish(c.OutOrStdout(), rows, err, func() (string, error) {
+				text := lab.Table(rows)
+				if l.out != "" {
+					if err := l.charts(rows); err != nil {
+						return "", err
+					}
+				}
+				return text, nil
+			})
+		},
+	}
+	l.add(c, 20)
+	c.Flags().StringVar(&way, "way", "", "policy=NAME, file=PATH, mix=true, section.key=value, with commas between")
+	c.Flags().IntVar(&workers, "workers", 1, "play one seed on so many processors, and tell how fast")
+	return c
+}
+
+// charts draws credit over time with the faults shaded, and the breakers.
+func (l *labFlags) charts(rows []lab.Row) error {
+	if err := os.MkdirAll(l.out, 0o755); err != nil {
+		return fmt.Errorf("keeping the charts: %w", err)
+	}
+	s, err := scenario.Load(l.scenario)
+	if err != nil {
+		return err
+	}
+	credit := chart.Chart{Title: "Credit over time, " + s.Name, X: "s from the first notice", Y: "share of the credit asked", Least: 0, Most: 1.02}
+	for i, f := range s.Faults {
+		if i < 6 {
+			credit.Bands = append(credit.Bands, chart.Band{Name: f.Kind, From: float64(f.At) / 1000, To: min(float64(f.Until()), float64(s.Length)) / 1000})
+		}
+	}
+	for _, way := range lab.Ways(rows) {
+		line := chart.Series{Name: way}
+		var asked, earned []float64
+		for _, r := range rows {
+			if r.Way != way || r.Result == nil {
+				continue
+			}
+			for i, b := range r.Result.Bins {
+				if i >= len(asked) {
+					asked, earned = append(asked, 0), append(earned, 0)
+				}
+				asked[i] += b.Asked
+				earned[i] += b.Earned
+			}
+		}
+		for i := range asked {
+			if asked[i] > 0 {
+				line.X, line.Y = append(line.X, (float64(i)+0.5)*0.5), append(line.Y, earned[i]/asked[i])
+			}
+		}
+		credit.Lines = append(credit.Lines, line)
+	}
+	return credit.Save(filepath.Join(l.out, l.name+"-credit.svg"))
+}
+
+func labCompare() *cobra.Command {
+	var l labFlags
+	var a, b, rowsA, rowsB, figure string
+	var width float64
+	var most int
+	c := &cobra.Command{
+		Use: "compare", Short: "Compare two settings, policies or builds over the same seeds", Args: cli.Args(cobra.NoArgs),
+		Long: `compare plays both ways with the same seeds and estimates the difference of each figure over the pairs, with 95%
+intervals. With --width it adds seeds until the interval of the chosen figure is no wider to either side, or --most are
+played. Two builds are compared by the rows that each wrote: lab run --rows.`,
+		Example: `  chutelab lab compare --scenario my.toml --b sending.trips=8
+  chutelab lab compare --scenario my.toml --a file=now.toml --b file=planned.toml --width 0.002
+  chutelab lab compare --scenario mixed --b policy=backoff
+  chutelab lab compare --rows-a before.jsonl --rows-b after.jsonl`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if (rowsA == "") != (rowsB == "") {
+				return cli.Misused("--rows-a and --rows-b go together")
+			}
+			if rowsA != "" {
+				first, err := lab.Load(rowsA)
+				if err != nil {
+					return err
+				}
+				second, err := lab.Load(rowsB)
+				if err != nil {
+					return err
+				}
+				text, err := lab.CompareRows(first, second)
+				fmt.Fprint(c.OutOrStdout(), text)
+				return err
+			}
+			ctx, stop := interruptible(c)
+			defer stop()
+			wayA, err := lab.ParseWay(a)
+			if err != nil {
+				return cli.Misused("--a: %s", err)
+			}
+			wayB, err := lab.ParseWay(b)
+			if err != nil {
+				return cli.Misused("--b: %s", err)
+			}
+			if wayA.Name == wayB.Name {
+				return cli.Misused("--a and --b are the same way")
+			}
+			if !slices.ContainsFunc(lab.Figures, func(f lab.Figure) bool { return f.Name == figure }) {
+				return cli.Misused("--figure %q: one of %s", figure, strings.Join(lab.FigureNames(), ", "))
+			}
+			var rows []lab.Row
+			for {
+				more, err := l.plan([]lab.Way{wayA, wayB}, c).Run(ctx)
+				rows = append(rows, more...)
+				d := lab.Difference(lab.Values(rows, wayA.Name, figure), lab.Values(rows, wayB.Name, figure))
+				if err != nil || width <= 0 || d.Half() <= width || len(rows)/2 >= most {
+					return l.finish(c.OutOrStdout(), rows, err, func() (string, error) {
+						if l.out != "" {
+							if err := l.charts(rows); err != nil {
+								return "", err
+							}
+						}
+						return lab.Compare(rows, wayA.Name, wayB.Name), nil
+					})
+				}
+				l.seed += uint64(l.seeds)
+			}
+		},
+	}
+	l.add(c, 30)
+	f := c.Flags()
+	f.StringVar(&a, "a", "", "the first way; empty: ours, as the scenario says")
+	f.StringVar(&b, "b", "", "the second way")
+	f.StringVar(&figure, "figure", "credit", "the figure that --width means")
+	f.Float64Var(&width, "width", 0, "play more seeds until the difference is known to plus or minus this")
+	f.IntVar(&most, "most", 400, "with --width: seeds at the most")
+	f.StringVar(&rowsA, "rows-a", "", "rows of the first build")
+	f.StringVar(&rowsB, "rows-b", "", "rows of the second build")
+	return c
+}
+
+func labSweep() *cobra.Command {
+	var l labFlags
+	var params []string
+	var samples int
+	var way, figure string
+	c := &cobra.Command{
+		Use: "sweep", Short: "Play a scenario over a grid or a hypercube of settings", Args: cli.Args(cobra.NoArgs),
+		Example: `  chutelab lab sweep --scenario sick --param sending.slots=16,32,64 --param sending.trips=2,4,8
+  chutelab lab sweep --scenario sick --param traffic.rate=100..900/s --param sending.slots=8..64 --samples 40`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(params) == 0 {
+				return cli.Misused("--param: at least one, such as sending.slots=16,32")
+			}
+			base, err := lab.ParseWay(way)
+			if err != nil {
+				return cli.Misused("--way: %s", err)
+			}
+			var ranges []lab.Range
+			for _, p := range params {
+				r, err := lab.ParseRange(p)
+				if err != nil {
+					return cli.Misused("--param %s", err)
+				}
+				ranges = append(ranges, r)
+			}
+			var ways []lab.Way
+			if samples > 0 {
+				ways = lab.Hypercube(base, ranges, samples, l.seed)
+			} else if ways, err = lab.Grid(base, ranges); err != nil {
+				return cli.Misused("%s", err)
+			}
+			ctx, stop := interruptible(c)
+			defer stop()
+			rows, err := l.plan(ways, c).Run(ctx)
+			return l.finish(c.OutOrStdout(), rows, err, func() (string, error) {
+				if l.out != "" && len(ranges) <= 2 && samples == 0 {
+					if err := l.sweepChart(rows, ranges, ways, figure); err != nil {
+						return "", err
+					}
+				}
+				return lab.Table(rows), nil
+			})
+		},
+	}
+	l.add(c, 10)
+	c.Flags().StringArrayVar(&params, "param", nil, "a setting with its values, or with its span for --samples")
+	c.Flags().IntVar(&samples, "samples", 0, "a Latin hypercube of so many in place of the grid")
+	c.Flags().StringVar(&way, "way", "", "what all have in common")
+	c.Flags().StringVar(&figure, "figure", "credit", "the figure that the chart shows")
+	return c
+}
+
+// sweepChart draws a figure over the last parameter, a line for each value of the first of two.
+func (l *labFlags) sweepChart(rows []lab.Row, ranges []lab.Range, ways []lab.Way, figure string) error {
+	last := ranges[len(ranges)-1]
+	c := chart.Chart{Title: figure + ", " + l.scenario, X: last.Key, Y: figure, Points: true}
+	per := len(last.Values)
+	for i := 0; i < len(ways); i += per {
+		line := chart.Series{Name: ranges[0].Key + "=" + ranges[0].Values[(i/per)%len(ranges[0].Values)]}
+		if len(ranges) == 1 {
+			line.Name = figure
+		}
+		for j, v := range last.Values {
+			x := float64(j)
+			fmt.Sscanf(v, "%g", &x)
+			line.X, line.Y = append(line.X, x), append(line.Y, lab.Of(lab.Values(rows, ways[i+j].Name, figure)).Mean)
+		}
+		c.Lines = append(c.Lines, line)
+	}
+	if err := os.MkdirAll(l.out, 0o755); err != nil {
+		return fmt.Errorf("keeping the chart: %w", err)
+	}
+	return c.Save(filepath.Join(l.out, l.name+".svg"))
+}
+
+func labSearch() *cobra.Command {
+	var l labFlags
+	var way, against, write string
+	var breaches bool
+	var keep float64
+	c := &cobra.Command{
+		Use: "search", Short: "Look for the scenario that is worst for us, and shorten it", Args: cli.Args(cobra.NoArgs),
+		Long: `search draws troubles into a scenario by many seeds, holds ours against another policy (the oracle knows every trouble as it
+begins), and shortens the worst that it finds for as long as it stays bad. With --breaches it looks for broken rules. The
+scenario is written as a file that try plays on sockets.`,
+		Example: `  chutelab lab search --scenario brief --seeds 2000 --write worst.toml
+  chutelab lab search --scenario brief --seeds 5000 --breaches --write breach.toml`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := interruptible(c)
+			defer stop()
+			w, err := lab.ParseWay(way)
+			if err != nil {
+				return cli.Misused("--way: %s", err)
+			}
+			done := 0
+			s := lab.Search{Base: l.scenario, Way: w, Against: against, Breaches: breaches, Seeds: lab.Seeds(l.seed, l.seeds),
+				Parallel: l.parallel, Done: func(f lab.Found) {
+					if done++; term.IsTerminal(int(os.Stderr.Fd())) {
+						fmt.Fprintf(os.Stderr, "\r\x1b[K%d of %d seeds", done, l.seeds)
+					}
+				}}
+			out := c.OutOrStdout()
+			found, err := s.Run(ctx)
+			if err != nil && !errors.Is(err, lab.ErrEnded) || len(found) == 0 {
+				return err
+			}
+			for _, f := range found[:min(len(found), 10)] {
+				fmt.Fprintln(out, describe(f))
+			}
+			if breaches && found[0].Bad == 0 {
+				fmt.Fprintf(out, "no rule broken in %d runs\n", len(found))
+				return err
+			}
+			worst, shrinkErr := s.Shrink(ctx, found[0], keep)
+			if shrinkErr != nil {
+				return shrinkErr
+			}
+			fmt.Fprintf(out, "\nshortened: %s\n", describe(worst))
+			for _, f := range worst.Scenario.Faults {
+				fmt.Fprintf(out, "  %5.1f to %.1f s  %s %s part %.2f share %.2f size %.2f\n", f.At/1000, f.Until()/1000, f.Kind, f.Grade, f.Part, f.Share, f.Size)
+			}
+			for _, b := range worst.Ours.Breaches[:min(len(worst.Ours.Breaches), 1)] {
+				fmt.Fprintln(out, b)
+			}
+			if write != "" {
+				text, err := s.Write(worst, describe(worst))
+				if err != nil {
+					return err
+				}
+				if err := os.WriteFile(write, text, 0o644); err != nil {
+					return fmt.Errorf("writing the scenario: %w", err)
+				}
+			}
+			if breaches {
+				return fmt.Errorf("%d of %d runs broke a rule", len(slices.DeleteFunc(found, func(f lab.Found) bool { return f.Bad == 0 })), l.seeds)
+			}
+			return err
+		},
+	}
+	l.add(c, 200)
+	f := c.Flags()
+	f.StringVar(&way, "way", "", "ours, with what is set otherwise")
+	f.StringVar(&against, "against", model.Oracle, "the policy that ours is held against")
+	f.BoolVar(&breaches, "breaches", false, "look for broken rules")
+	f.Float64Var(&keep, "keep", 0.9, "how much of the badness shortening must leave")
+	f.StringVar(&write, "write", "", "a file for the scenario found")
+	return c
+}
+
+func describe(f lab.Found) string {
+	if f.Other == nil {
+		return fmt.Sprintf("seed %d: %d breaches, credit %.3f", f.Seed, len(f.Ours.Breaches), f.Ours.All.Credit)
+	}
+	return fmt.Sprintf("seed %d: %.3f lost: credit %.3f, the other %.3f, %d notices, %d faults", f.Seed, f.Bad, f.Ours.All.Credit, f.Other.All.Credit,
+		f.Ours.All.Asked, len(f.Scenario.Faults))
+}
+
+func labReport() *cobra.Command {
+	var against string
+	c := &cobra.Command{
+		Use: "report ROWS...", Short: "Make tables of rows that were kept", Args: cli.Args(cobra.MinimumNArgs(1)),
+		Example: `  chutelab lab report rows.jsonl
+  chutelab lab report --against ours rows.jsonl`,
+		RunE: func(c *cobra.Command, files []string) error {
+			var rows []lab.Row
+			for _, f := range files {
+				more, err := lab.Load(f)
+				if err != nil {
+					return err
+				}
+				rows = append(rows, more...)
+			}
+			if len(rows) == 0 {
+				return errors.New("no rows")
+			}
+			fmt.Fprint(c.OutOrStdout(), lab.Table(rows))
+			if against != "" {
+				for _, w := range lab.Ways(rows) {
+					if w != against {
+						fmt.Fprintf(c.OutOrStdout(), "\n%s", lab.Compare(rows, against, w))
+					}
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&against, "against", "", "a way that all others are compared with")
+	return c
+}
+
+func labTruth() *cobra.Command {
+	var l labFlags
+	var program string
+	var tries int
+	var names []string
+	c := &cobra.Command{
+		Use: "truth", Short: "Hold the model's predictions against runs on sockets", Args: cli.Args(cobra.NoArgs),
+		Long: `truth plays scenarios in the model over many seeds, and on loopback sockets by other seeds, and tells for each whether the
+credit measured falls within what the model predicts for a single run.`,
+		Example: `  chutelab lab truth --scenarios calm,sick,mixed --seeds 60 --tries 2`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := interruptible(c)
+			defer stop()
+			path, err := sender(program)
+			if err != nil {
+				return fmt.Errorf("no sender to try: %w", err)
+			}
+			text, held, err := l.truth(ctx, path, names, tries)
+			fmt.Fprint(c.OutOrStdout(), text)
+			if err != nil {
+				return err
+			}
+			if l.out != "" {
+				if err := os.MkdirAll(l.out, 0o755); err != nil {
+					return err
+				}
+				text = fmt.Sprintf("    chutelab %s\n\n%s", strings.Join(os.Args[1:], " "), text)
+				if err := os.WriteFile(filepath.Join(l.out, l.name+".md"), []byte(text), 0o644); err != nil {
+					return err
+				}
+			}
+			if held < 1 {
+				return fmt.Errorf("%.0f%% of the runs on sockets fell within the prediction", 100*held)
+			}
+			return nil
+		},
+	}
+	l.add(c, 60)
+	c.Flags().StringSliceVar(&names, "scenarios", nil, "scenarios; else those that come with the program")
+	c.Flags().StringVar(&program, "program", "", "the sender's program; else the one beside this")
+	c.Flags().IntVar(&tries, "tries", 2, "runs on sockets of each scenario")
+	return c
+}
--- a/cmd/chutelab/main.go
+++ b/cmd/chutelab/main.go
@@ -25,7 +25,7 @@
 		Long: `chutelab plays scenarios against senders, among stand-in gateways, platform and clients on loopback sockets.
 Every figure is of stand-ins on this machine. Exit status: 0 done, 1 failed or a rule broken, 2 wrong use.`,
 	})
-	root.AddCommand(tryCommand(), loadCommand(), sickCommand(), standinCommand(), relayCommand())
+	root.AddCommand(tryCommand(), loadCommand(), sickCommand(), labCommand(), standinCommand(), relayCommand())
 	return root
 }
 
--- a/cmd/chuteweir/commands.go
+++ b/cmd/chuteweir/commands.go
@@ -37,6 +37,7 @@
 	for name, short := range map[string]string{
 		"try":     "Start a sender among stand-ins, run a scenario and tell how it went",
 		"load":    "Load a sender and measure it",
+		"lab":     "Try settings, policies and scenarios in simulated time, with error bars",
 		"sick":    "Measure what sick destinations take from healthy ones",
 		"standin": "Run stand-in gateways or a stand-in platform",
 		"relay":   "Run a plain relay, the baseline of comparisons",
--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -63,7 +63,12 @@
 
 // Check checks the rules on what was seen up to a time. settings are what the senders were told.
 func (r *Record) Check(settings rules.Settings, t Tolerances, until rules.Millis) []Breach {
-	c := &checker{View: r.View(), settings: settings, t: t, until: until, hands: map[string]*Hand{}, byID: map[string][]*Call{},
+	return r.View().Check(settings, t, until)
+}
+
+// Check checks the rules on a view, whose calls it puts into the order of their times.
+func (v View) Check(settings rules.Settings, t Tolerances, until rules.Millis) []Breach {
+	c := &checker{View: v, settings: settings, t: t, until: until, hands: map[string]*Hand{}, byID: map[string][]*Call{},
 		ends: map[string][]End{}, effects: map[string][]*Hand{}}
 	for i := range c.Hands {
 		h := &c.Hands[i]
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -215,9 +215,9 @@
 	return l.append(n.Number, kindTaken, rest)
 }
 
-// Share is the part of the room for live notices that one with a body of so many bytes takes, as a rule.
-func (l *Ledger) Share(body int) float64 {
-	return float64(headSize+leastLen+4+usual+body) / float64(l.room*2/5)
+// Share is the part of a ledger's room for live notices that one with a body of so many bytes takes, as a rule.
+func Share(room int64, body int) float64 {
+	return float64(headSize+leastLen+4+usual+body) / float64(room*2/5)
 }
 
 // Trip writes down that a call is about to leave.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -397,7 +397,7 @@
 // room is the share of what this sender can hold that a notice takes: of the memory for bodies or of the ledger, whichever
 // it takes more of.
 func (l *Loop) room(body *buffers.Chain) float64 {
-	return max(float64(body.Held())/float64(l.config.Limits.HeldBytes), l.ledger.Share(body.Len()))
+	return max(float64(body.Held())/float64(l.config.Limits.HeldBytes), ledger.Share(l.config.Limits.Disk, body.Len()))
 }
 
 func (l *Loop) refuse(r *intake.Request, status int) {
--- /dev/null
+++ b/internal/model/baseline.go
@@ -0,0 +1,366 @@
+package model
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"chuteweir.example/chuteweir/internal/gateway"
+	"chuteweir.example/chuteweir/internal/scenario"
+	"chuteweir.example/chuteweir/rules"
+)
+
+// The baselines: what textbooks and libraries offer, for comparison only. They keep to slots, trips and what must not
+// run twice, and to nothing else that our rules ask.
+const (
+	OneTry    = "one-try"   // one call for each notice
+	Immediate = "immediate" // further calls at once
+	Backoff   = "backoff"   // exponential, full jitter
+	Budget    = "budget"    // backoff, and further calls up to a tenth of the first ones
+	Bucket    = "bucket"    // backoff, and a token bucket for each destination at this sender's part of its limit
+	Gradient  = "gradient"  // backoff, and for each destination a limit of calls out that follows the delays
+	Breaker   = "breaker"   // backoff, and a circuit breaker for each destination by the rules of sony/gobreaker
+	Least     = "least"     // backoff, to the receiver with the fewest calls out
+	Oracle    = "oracle"    // knows what troubles act, and each destination's capacity
+)
+
+// Policies names ours and the baselines.
+func Policies() []string {
+	return []string{"ours", OneTry, Immediate, Backoff, Budget, Bucket, Gradient, Breaker, Least, Oracle}
+}
+
+// PolicyOf is the policy of a name, for a world.
+func PolicyOf(name string, s *scenario.Scenario) (Policy, error) {
+	switch {
+	case name == "" || name == "ours":
+		return Ours, nil
+	case !slices.Contains(Policies(), name):
+		return nil, fmt.Errorf("no policy %q: one of %s", name, strings.Join(Policies(), ", "))
+	}
+	w := scenario.Lay(s)
+	return func(seed uint64, settings rules.Settings, began rules.Millis) Decider {
+		return &plain{kind: name, settings: settings, began: began, world: w, draw: rand.New(rand.NewPCG(seed, 1)),
+			notices: map[rules.NoticeID]*plainNotice{}, dests: map[rules.DestinationID]*plainDest{},
+			receivers: map[rules.ReceiverID]*plainReceiver{}}
+	}, nil
+}
+
+type plainNotice struct {
+	rules.NoticeTaken
+	until, readyAt rules.Millis
+	trips          int
+	mayHaveRun     bool
+	out            *plainReceiver
+	place          int
+}
+
+type plainReceiver struct {
+	id    rules.ReceiverID
+	dest  *plainDest
+	ready bool
+	out   int
+}
+
+// plainDest is what a baseline keeps of a destination.
+type plainDest struct {
+	number    int
+	receivers []*plainReceiver
+	turn, out int
+	rate      float64 // told, calls a second
+	// Token bucket.
+	tokens float64
+	filled rules.Millis
+	// Gradient.
+	limit, least float64
+	// Breaker.
+	state           string
+	since, openedAt rules.Millis
+	calls, failed   int
+	trial           bool
+}
+
+// plain is a sender of the textbook kind.
+type plain struct {
+	kind      string
+	settings  rules.Settings
+	began     rules.Millis
+	world     *scenario.World
+	draw      *rand.Rand
+	now       rules.Millis
+	notices   map[rules.NoticeID]*plainNotice
+	waiting   byReady
+	dests     map[rules.DestinationID]*plainDest
+	receivers map[rules.ReceiverID]*plainReceiver
+	slots     int
+	tokens    float64 // of the retry budget
+	actions   []rules.Action
+	timerAt   rules.Millis
+}
+
+func (p *plain) do(a rules.Action) { p.actions = append(p.actions, a) }
+
+// Decide takes what happened and returns what is to be done.
+func (p *plain) Decide(now rules.Millis, events []rules.Event) []rules.Action {
+	p.now, p.actions = now, nil
+	for _, e := range events {
+		switch e := e.(type) {
+		case rules.ListTold:
+			p.list(e)
+		case rules.NoticeTaken:
+			n := &plainNotice{NoticeTaken: e, until: now + e.Left, readyAt: now, trips: e.Trips, mayHaveRun: e.Ran > 0}
+			p.notices[e.Notice] = n
+			p.tokens = min(p.tokens+0.1, 100)
+			heap.Push(&p.waiting, n)
+		case rules.TripEnded:
+			p.ended(e)
+		case rules.ListFailed:
+			p.do(rules.WatchList{})
+		}
+	}
+	p.serve()
+	if next := p.next(); next < p.timerAt || p.timerAt <= now {
+		p.timerAt = next
+		if next < never {
+			p.do(rules.SetTimer{After: max(next-now, p.settings.Tick)})
+		}
+	}
+	return p.actions
+}
+
+func (p *plain) list(e rules.ListTold) {
+	if e.Whole {
+		for _, rc := range p.receivers {
+			rc.ready = false
+		}
+	}
+	for _, x := range e.Entries {
+		d := p.dests[x.Destination]
+		if d == nil {
+			d = &plainDest{number: int(x.Destination), state: "closed", limit: 20}
+			p.dests[x.Destination] = d
+		}
+		rc := p.receivers[x.Receiver]
+		if rc == nil {
+			rc = &plainReceiver{id: x.Receiver, dest: d}
+			p.receivers[x.Receiver] = rc
+			d.receivers = append(d.receivers, rc)
+		}
+		rc.ready = x.Standing == rules.Ready
+	}
+}
+
+func (p *plain) ended(e rules.TripEnded) {
+	n := p.notices[e.Notice]
+	if n == nil || n.out == nil {
+		return
+	}
+	rc := n.out
+	d := rc.dest
+	n.out = nil
+	p.slots--
+	rc.out--
+	d.out--
+	if e.LimitTold {
+		d.rate = e.LimitRate
+	}
+	p.learn(d, e)
+	if e.Result == rules.Handled || e.Over {
+		delete(p.notices, e.Notice)
+		return
+	}
+	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short
+	n.mayHaveRun = n.mayHaveRun || !unrun
+	grade := p.settings.Grades[n.Grade]
+	limit := p.settings.TripLimit
+	if p.kind == OneTry {
+		limit = 1
+	}
+	if p.kind == Budget && n.trips < limit {
+		if p.tokens < 1 {
+			limit = 0
+		} else {
+			p.tokens--
+		}
+	}
+	if n.trips >= limit || n.mayHaveRun && grade.Repeat == rules.AtMostOnce {
+		p.end(n)
+		return
+	}
+	n.readyAt = p.now + e.Wait
+	if p.kind != Immediate {
+		n.readyAt += rules.Millis(p.draw.Float64() * math.Min(50*math.Exp2(float64(n.trips)), float64(grade.QuotedTime)))
+	}
+	heap.Push(&p.waiting, n)
+}
+
+// learn moves what a baseline knows of a destination by an outcome.
+func (p *plain) learn(d *plainDest, e rules.TripEnded) {
+	failed := e.Result != rules.Handled && e.Result != rules.Full && e.Result != rules.Short
+	switch p.kind {
+	case Gradient:
+		spent := float64(max(e.Spent, 0.1))
+		if e.Result == rules.Handled && (d.least == 0 || spent < d.least) {
+			d.least = spent
+		}
+		d.least *= 1.001
+		if d.least > 0 {
+			gradient := min(max(2*d.least/spent, 0.5), 1)
+			d.limit = min(max(d.limit*gradient+math.Sqrt(d.limit)/4, 1), float64(p.settings.Slots))
+		}
+	case Breaker:
+		if p.now-d.since > 30_000 {
+			d.calls, d.failed, d.since = 0, 0, p.now
+		}
+		d.calls++
+		if failed {
+			d.failed++
+		}
+		switch {
+		case d.state == "half-open" && !failed:
+			d.state, d.calls, d.failed, d.since, d.trial = "closed", 0, 0, p.now, false
+		case d.state == "half-open", d.state == "closed" && d.calls >= 10 && 2*d.failed >= d.calls:
+			d.state, d.openedAt, d.trial = "open", p.now, false
+		}
+	}
+}
+
+func (p *plain) end(n *plainNotice) {
+	if n.mayHaveRun {
+		p.do(rules.BreakOff{Notice: n.Notice})
+	} else {
+		p.do(rules.Dismiss{Notice: n.Notice})
+	}
+	delete(p.notices, n.Notice)
+}
+
+// allows tells whether a call may leave for a destination now, and else when to ask again.
+func (p *plain) allows(d *plainDest) (ok bool, again rules.Millis) {
+	again = p.now + 10
+	switch p.kind {
+	case Bucket:
+		if d.rate <= 0 {
+			return true, 0
+		}
+		rate := d.rate / float64(max(p.settings.Senders, 1)) / 1000
+		d.tokens = min(d.tokens+float64(p.now-d.filled)*rate, max(200*rate, 1))
+		if d.filled = p.now; d.tokens < 1 {
+			return false, p.now + rules.Millis((1-d.tokens)/rate)
+		}
+		d.tokens--
+	case Gradient:
+		return float64(d.out) < d.limit, again
+	case Breaker:
+		if d.state == "open" && p.now >= d.openedAt+5000 {
+			d.state = "half-open"
+		}
+		if d.state == "open" {
+			return false, d.openedAt + 5000
+		}
+		if d.state == "half-open" {
+			if d.trial {
+				return false, again
+			}
+			d.trial = true
+		}
+	case Oracle:
+		return p.knows(d)
+	}
+	return true, 0
+}
+
+// knows is the oracle's gate: no trouble that takes calls acts, and this sender's part of the capacity is free.
+func (p *plain) knows(d *plainDest) (bool, rules.Millis) {
+	at := p.began + p.now
+	truth := p.world.Destinations[d.number-1]
+	for _, f := range truth.Faults {
+		bad := gateway.Outage(f) || f.Kind == scenario.Spoilt || f.Kind == scenario.Errors || f.Kind == scenario.ResetAfter ||
+			f.Kind == scenario.Flap || f.Kind == scenario.Dribble
+		if bad && f.Active(at) {
+			return false, p.now + max(f.Next(at)-at, 1)
+		}
+	}
+	if limit := truth.Group.Shape.Limit; limit > 0 {
+		rate := limit / float64(max(p.settings.Senders, 1)) / 1000
+		d.tokens = min(d.tokens+float64(p.now-d.filled)*rate, max(100*rate, 1))
+		if d.filled = p.now; d.tokens < 1 {
+			return false, p.now + rules.Millis((1-d.tokens)/rate)
+		}
+		d.tokens--
+	}
+	return true, 0
+}
+
+func (p *plain) serve() {
+	for len(p.waiting) > 0 && p.waiting[0].readyAt <= p.now && p.slots < p.settings.Slots {
+		n := heap.Pop(&p.waiting).(*plainNotice)
+		if p.now >= n.until-3*p.settings.Tick {
+			p.end(n)
+			continue
+		}
+		d := p.dests[n.Destination]
+		var to *plainReceiver
+		if d != nil {
+			to = p.choose(d)
+		}
+		if to == nil {
+			n.readyAt = p.now + 50
+			heap.Push(&p.waiting, n)
+			continue
+		}
+		ok, again := p.allows(d)
+		if !ok {
+			n.readyAt = min(max(again, p.now+1), n.until-3*p.settings.Tick)
+			heap.Push(&p.waiting, n)
+			continue
+		}
+		n.out, n.trips = to, n.trips+1
+		p.slots++
+		to.out++
+		d.out++
+		p.do(rules.Send{Notice: n.Notice, Receiver: to.id, TimeOut: min(p.settings.Grades[n.Grade].QuotedTime, n.until-p.now)})
+	}
+}
+
+// choose takes receivers in turn, or the one with the fewest calls out.
+func (p *plain) choose(d *plainDest) *plainReceiver {
+	var best *plainReceiver
+	d.turn++
+	for i := range d.receivers {
+		rc := d.receivers[(d.turn+i)%len(d.receivers)]
+		switch {
+		case !rc.ready:
+		case best == nil, p.kind == Least && rc.out < best.out:
+			best = rc
+		}
+	}
+	return best
+}
+
+// next is when something is to be looked at again.
+func (p *plain) next() rules.Millis {
+	if len(p.waiting) == 0 {
+		return never
+	}
+	return max(p.waiting[0].readyAt, p.now+p.settings.Tick)
+}
+
+// byReady is a heap of notices by when they may go.
+type byReady []*plainNotice
+
+func (h byReady) Len() int { return len(h) }
+func (h byReady) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].readyAt, h[j].readyAt), cmp.Compare(h[i].Notice, h[j].Notice)) < 0
+}
+func (h byReady) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].place, h[j].place = i, j }
+func (h *byReady) Push(x any)   { n := x.(*plainNotice); n.place = len(*h); *h = append(*h, n) }
+func (h *byReady) Pop() any {
+	old := *h
+	n := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return n
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -193,20 +193,28 @@
 	return append(names, SickSet()...)
 }
 
-// Load reads a scenario: one that comes with the program by its name, any other by its file.
-func Load(name string) (*Scenario, error) {
+// Text is a scenario's file: one that comes with the program by its name, any other by its path.
+func Text(name string) ([]byte, error) {
 	if text, ok := sick(name); ok {
-		s, faults := Read(name, []byte(text))
-		return s, faults.Or()
+		return []byte(text), nil
+	}
+	if text, err := builtin.ReadFile("builtin/" + name + ".toml"); err == nil {
+		return text, nil
 	}
-	text, err := builtin.ReadFile("builtin/" + name + ".toml")
-	path := name
+	text, err := os.ReadFile(name)
 	if err != nil {
-		if text, err = os.ReadFile(name); err != nil {
-			return nil, fmt.Errorf("scenario %s: no file, and none of %s: %w", name, strings.Join(Builtin(), ", "), err)
-		}
+		return nil, fmt.Errorf("scenario %s: no file, and none of %s: %w", name, strings.Join(Builtin(), ", "), err)
+	}
+	return text, nil
+}
+
+// Load reads a scenario.
+func Load(name string) (*Scenario, error) {
+	text, err := Text(name)
+	if err != nil {
+		return nil, err
 	}
-	s, faults := Read(path, text)
+	s, faults := Read(name, text)
 	return s, faults.Or()
 }
 
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,14 +52,9 @@
 
 // dest is one destination.
 type dest struct {
-	*scenario.Destination
-	mu      sync.Mutex
-	core    *gateway.Gateway
-	draw    *rand.Rand
-	open    int          // connections
-	seen    map[int]bool // senders that saw a call fail or be refused in the present outage
-	struck  bool         // an outage is on
-	outages []scenario.Fault
+	*gateway.Site // under mu
+	mu            sync.Mutex
+	open          int // connections
 }
 
 // receiver is one of its receivers.
@@ -81,70 +74,29 @@
 // NewGateways opens the receivers of a world.
 func NewGateways(s *Stage) (*Gateways, error) {
 	g := &Gateways{stage: s, dests: map[int]*dest{}, receivers: map[string]*receiver{}}
-	settings := s.World.Settings
-	back := gateway.Back{ColdFrom: settings.ColdFrom, Warm: settings.WarmWithin, Fall: settings.Fall, Multiple: settings.TipMultiple}
 	for _, d := range s.World.Destinations {
-		own := &dest{Destination: d, draw: scenario.Chance(s.World.Seed, scenario.StreamGateways+uint64(d.Number)), seen: map[int]bool{}}
-		own.core = gateway.New(d.Group.Shape, back, own.draw)
-		for _, f := range d.Faults {
-			if outage(f) {
-				own.outages = append(own.outages, f)
-			}
-		}
+		own := &dest{Site: gateway.NewSite(s.World, d)}
 		g.dests[d.Number] = own
 		for _, id := range d.Receivers {
 			if err := g.Open(id, d.Number); err != nil {
 				return nil, err
 			}
 		}
-		if len(own.outages) > 0 {
-			go g.watchOutages(own)
-		}
+		go g.watchOutages(own)
 	}
 	return g, nil
 }
 
-// outage tells whether a fault is an outage: down, silent, hung, shut, or most calls failing.
-func outage(f scenario.Fault) bool {
-	switch f.Kind {
-	case scenario.Refuse, scenario.Shut, scenario.Hang, scenario.Silent, scenario.NeverUp:
-		return true
-	case scenario.Errors, scenario.ResetBefore, scenario.ResetAfter:
-		return f.Share >= 0.5 && f.Grade == ""
-	}
-	return false
-}
-
-// watchOutages tells a destination's core when an outage ends.
+// watchOutages tells a destination when its outages begin and end.
 func (g *Gateways) watchOutages(d *dest) {
 	for at := rules.Millis(0); ; {
-		next := rules.Millis(-1)
-		for _, f := range d.outages {
-			if n := f.Next(at); n >= 0 && (next < 0 || n < next) {
-				next = n
-			}
-		}
+		next := d.NextOutage(at)
 		if next < 0 || !g.stage.at(next) {
 			return
 		}
 		at = next
-		on := false
-		for _, f := range d.outages {
-			on = on || f.Active(at)
-			if f.Active(at) && (f.Kind == scenario.Refuse || f.Kind == scenario.Silent || f.Kind == scenario.NeverUp) {
-				// Who tried meanwhile can't be seen: all may have.
-				d.mu.Lock()
-				for sender := range g.stage.World.Senders {
-					d.seen[sender] = true
-				}
-				d.mu.Unlock()
-			}
-		}
 		d.mu.Lock()
-		if d.struck && !on {
-			d.core.Returned(at)
-		}
-		d.struck = on
+		d.StepOutage(at)
 		d.mu.Unlock()
 	}
 }
@@ -494,31 +446,17 @@
 }
 
 func (r *receiver) active(kind string) (scenario.Fault, bool) {
-	now := r.all.stage.Clock.Now()
-	for _, f := range r.dest.Faults {
-		if f.Kind == kind && f.Active(now) {
-			return f, true
-		}
-	}
-	return scenario.Fault{}, false
+	return r.dest.Active(kind, r.all.stage.Clock.Now())
 }
 
 // strike draws whether a fault strikes a call of a grade, -1 for any.
 func (r *receiver) strike(kind string, grade int) (scenario.Fault, bool) {
-	f, on := r.active(kind)
-	if !on {
-		return f, false
-	}
-	names := r.all.stage.World.Names.Grades
-	if f.Grade != "" && (grade < 0 || grade >= len(names) || names[grade] != f.Grade) {
-		return f, false
-	}
 	r.dest.mu.Lock()
 	defer r.dest.mu.Unlock()
-	return f, f.Share >= 1 || r.dest.draw.Float64() < f.Share
+	return r.dest.Strike(kind, grade, r.all.stage.Clock.Now())
 }
 
-// fate is what happens to a call.
+// fate is what happens to a call: what the destination decides, or a test's script.
 type fate struct {
 	Reply
 	at     rules.Millis // when the answer is due
@@ -531,72 +469,15 @@
 
 // decide says what happens to a call.
 func (r *receiver) decide(now rules.Millis, sender, grade int) fate {
-	for _, kind := range []string{scenario.Shut, scenario.Hang, scenario.ResetAfter, scenario.Errors, scenario.Spoilt} {
-		if _, struck := r.strike(kind, grade); !struck {
-			continue
-		}
-		d := r.dest
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.struck {
-			d.seen[sender] = true
-		}
-		f := fate{at: now, fault: kind}
-		switch kind {
-		case scenario.Shut:
-			f.Status = 503
-		case scenario.Hang:
-			f.Never, f.Ran = true, true
-		case scenario.ResetAfter:
-			f.Reset, f.Ran = true, d.draw.Float64() < 0.5
-		case scenario.Errors:
-			f.Status, f.Ran = 500, d.draw.Float64() < 0.5
-		case scenario.Spoilt:
-			f.Raw, f.Status = spoil(d.draw)
-			f.Ran, f.spoilt = true, true
-		}
-		return f
-	}
-	part, slower := 1.0, 1.0
-	if f, on := r.active(scenario.LowLimit); on {
-		part = f.Size
-	}
-	if f, struck := r.strike(scenario.Slow, grade); struck {
-		slower = f.Size
-	}
-	_, dribbles := r.strike(scenario.Dribble, grade)
 	d := r.dest
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := d.core.Arrive(max(now, 0), sender, part, slower)
-	f := fate{at: v.Ends, slow: dribbles}
-	if dribbles {
-		f.fault = scenario.Dribble
-	}
-	switch {
-	case v.Down:
-		if v.Fell {
-			seen := map[int]bool{}
-			for s := range d.seen {
-				seen[s] = true
-			}
-			r.all.stage.Record.Fell(audit.Fall{Dest: d.Number, At: now, By: d.core.Pushed(), Seen: seen})
-		}
-		f.Reset, f.unseen, f.at, f.fault = true, true, now, "fallen over"
-	case v.Refused:
-		f.Status, f.wait, f.at = 503, v.Wait, now
-		if v.Wait > 0 {
-			f.Status = 429
-			f.Fields = append(f.Fields, "Retry-After: "+strconv.FormatFloat(float64(v.Wait)/1000, 'f', 3, 64))
-		}
-	default:
-		f.Status, f.Ran = 200, true
-	}
-	if left, limit, told := d.core.Report(max(now, 0), part); told && len(r.all.stage.World.Names.Report) == 2 {
-		names := r.all.stage.World.Names.Report
-		f.Fields = append(f.Fields, fmt.Sprintf("Server-Load: %s=%.3f,%s=%.3f", names[0], left, names[1], limit))
+	f := d.Decide(now, sender, grade)
+	if f.Fell {
+		r.all.stage.Record.Fell(audit.Fall{Dest: d.Number, At: now, By: d.Core.Pushed(), Seen: d.SeenBy()})
 	}
-	return f
+	return fate{Reply: Reply{Status: f.Status, Fields: f.Fields, Raw: f.Raw, Reset: f.Reset, Never: f.Never, Ran: f.Ran},
+		at: f.At, wait: f.Wait, slow: f.Slow, spoilt: f.Spoilt, fault: f.Fault, unseen: f.Unseen}
 }
 
 // answer answers one call, and tells whether the connection goes on.
@@ -733,22 +614,3 @@
 	}
 	return true
 }
-
-// spoil makes an answer that can't be used, with the status that its first line still tells whole, or 0.
-func spoil(draw *rand.Rand) (raw string, status int) {
-	switch draw.IntN(7) {
-	case 0:
-		return "\x00\xff\x13 no HTTP at all\r\n\r\n", 0
-	case 1:
-		return "HTTP/1.1 200 OK\r\nContent-Length: 12, 13\r\n\r\n", 200
-	case 2:
-		return "HTTP/1.1 500 Oops\r\nContent-Length: -5\r\n\r\n", 500
-	case 3:
-		return "HTTP/1.1 503 Full\r\nA: " + string(make([]byte, 9000)), 503
-	case 4:
-		return "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmuch", 200
-	case 5:
-		return "HTTP/1.1 4", 0
-	}
-	return "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 503
-}
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -10,33 +10,17 @@
 	"time"
 
 	"chuteweir.example/chuteweir/internal/audit"
+	"chuteweir.example/chuteweir/internal/results"
 	"chuteweir.example/chuteweir/internal/scenario"
 	"chuteweir.example/chuteweir/rules"
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// Times is a spread of times in milliseconds.
-type Times struct {
-	Count int64   `json:"count"`
-	P50   float64 `json:"p50"`
-	P99   float64 `json:"p99"`
-	P999  float64 `json:"p99.9"`
-	Max   float64 `json:"max"`
-}
-
-func times(h *hdrhistogram.Histogram) Times {
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	return Times{h.TotalCount(), at(50), at(99), at(99.9), float64(h.Max()) / 1000}
-}
-
 // Share is what a part of the notices came to.
-type Share struct {
-	Name      string  `json:"name"`
-	Asked     int     `json:"asked"` // notices wanted, however often handed in
-	Delivered int     `json:"delivered"`
-	Credit    float64 `json:"credit"` // earned of what was asked, from 0 to 1
-	Delivery  Times   `json:"delivery_ms"`
-}
+type Share = results.Share
+
+// Times is a spread of times in milliseconds.
+type Times = results.Times
 
 // Result is how a run went. Figures are of stand-ins on one machine's loopback.
 type Result struct {
@@ -72,37 +56,9 @@
 	StartRSS   int64                   `json:"start_rss"`
 }
 
-type tally struct {
-	Share
-	asked, earned float64
-	spread        *hdrhistogram.Histogram
-}
-
-func newTally(name string) *tally {
-	return &tally{Share: Share{Name: name}, spread: hdrhistogram.New(1, 3_600_000_000, 3)}
-}
-
-func (t *tally) add(asked, earned float64, delivered bool, after rules.Millis) {
-	t.Asked++
-	t.asked += asked
-	t.earned += earned
-	if delivered {
-		t.Delivered++
-		t.spread.RecordValue(max(int64(after*1000), 1))
-	}
-}
-
-func (t *tally) share() Share {
-	if t.asked > 0 {
-		t.Credit = t.earned / t.asked
-	}
-	t.Delivery = times(t.spread)
-	return t.Share
-}
-
 func (t *trial) result(answers *hdrhistogram.Histogram, handed time.Duration, used time.Duration, until rules.Millis) *Result {
 	w := t.stage.World
-	r := &Result{Scenario: w.Name, Seed: w.Seed, Senders: w.Senders, Seconds: handed.Seconds(), Answers: times(answers),
+	r := &Result{Scenario: w.Name, Seed: w.Seed, Senders: w.Senders, Seconds: handed.Seconds(), Answers: results.Spread(answers),
 		LateOffers: int(t.clients.Late.Load()), Bad: int(t.clients.Bad.Load()), Breaches: t.breaches(until), World: w, Held: t.held}
 	r.View = t.stage.Record.View()
 	delivered, ran, calls := map[string]rules.Millis{}, map[string]int{}, map[string]bool{}
@@ -133,10 +89,10 @@
 			delivered[h.Effect] = c.Replied
 		}
 	}
-	all, well, sick := newTally("all"), newTally("well"), newTally("sick")
-	grades := make([]*tally, len(w.Names.Grades))
+	all, well, sick := results.NewTally("all"), results.NewTally("well"), results.NewTally("sick")
+	grades := make([]*results.Tally, len(w.Names.Grades))
 	for i, name := range w.Names.Grades {
-		grades[i] = newTally(name)
+		grades[i] = results.NewTally(name)
 	}
 	seen, served := map[string]bool{}, 0
 	for i := range r.View.Hands {
@@ -166,8 +122,8 @@
 		if t.isSick(h.Dest) {
 			part = sick
 		}
-		for _, to := range []*tally{all, grades[h.Grade], part} {
-			to.add(asked, earned, ok, at-h.Intended)
+		for _, to := range []*results.Tally{all, grades[h.Grade], part} {
+			to.Add(asked, earned, ok, at-h.Intended)
 		}
 	}
 	ended := map[string]bool{}
@@ -182,10 +138,10 @@
 			r.BrokenOff++
 		}
 	}
-	r.Spread = all.spread
-	r.All, r.Well, r.Sick = all.share(), well.share(), sick.share()
+	r.Spread = all.Spread
+	r.All, r.Well, r.Sick = all.Share(), well.Share(), sick.Share()
 	for _, g := range grades {
-		r.Grades = append(r.Grades, g.share())
+		r.Grades = append(r.Grades, g.Share())
 	}
 	for _, s := range t.senders {
 		s.mu.Lock()
