The ledger writes the records of a turn at once; a race at the end of dialled connections mended

What can't be written is told, its client gets 503, and a later compaction drops what is over. OnClose of nbio read a connection's owner without any ordering after the goroutine that dialled it (found by -race).

--- a/cmd/chutelab/lab_test.go
+++ b/cmd/chutelab/lab_test.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// A plan that takes more memory than it may ends with its cause, and what was done is kept.
+func TestLabMemory(t *testing.T) {
+	rows := filepath.Join(t.TempDir(), "rows.jsonl")
+	_, err := run(t, "lab", "run", "--scenario", "mixed", "--seeds", "2000", "--parallel", "2", "--memory", "0.001", "--rows", rows)
+	if err == nil || !strings.Contains(err.Error(), "over --memory") || !strings.Contains(err.Error(), "are kept") {
+		t.Error(err)
+	}
+}
+
 func TestLabMisused(t *testing.T) {
 	for args, want := range map[string]string{
 		"lab compare --b ours=1":                     "--b",
--- a/cmd/chuteweir/serve.go
+++ b/cmd/chuteweir/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -33,7 +34,7 @@
 	limits := c.Limits()
 	debug.SetMemoryLimit(limits.Memory)
 	// The poller waits in the kernel and the loop must not wait for it to be found there.
-	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), 3))
+	runtime.GOMAXPROCS(max(int(math.Ceil(limits.Cores))+2, 3))
 	if format != "" {
 		c.Format = format
 	}
--- a/internal/lab/rows.go
+++ b/internal/lab/rows.go
@@ -100,6 +100,14 @@
 // ErrEnded says that a plan was broken off; what is done is kept.
 var ErrEnded = errors.New("broken off: the runs that were done are kept")
 
+// ended is ErrEnded with its cause, if that is not a signal's.
+func ended(ctx context.Context) error {
+	if why := context.Cause(ctx); why != nil && !errors.Is(why, context.Canceled) {
+		return fmt.Errorf("%w: %w", ErrEnded, why)
+	}
+	return ErrEnded
+}
+
 // Run plays a plan: ways times seeds, some at a time, each on one processor. Its rows come in the same order, and with the
 // same figures, however many are played at a time.
 func (p Plan) Run(ctx context.Context) ([]Row, error) {
@@ -144,13 +152,13 @@
 		case <-j.done:
 		case <-ctx.Done():
 			workers.Wait()
-			return rows, ErrEnded
+			return rows, ended(ctx)
 		}
 		if j.err != nil {
 			return rows, j.err
 		}
 		if j.row.Result.Broken {
-			return rows, ErrEnded
+			return rows, ended(ctx)
 		}
 		rows = append(rows, j.row)
 		if p.Done != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -230,10 +230,11 @@
 		if len(l.events) > 0 {
 			actions := l.sender.Decide(millis(l.now.Sub(l.started)), l.events)
 			l.events = l.events[:0]
-			l.answer(taken, actions)
+			admitted := l.admit(taken, actions)
 			for _, a := range actions {
 				l.carryOut(a)
 			}
+			l.acknowledge(admitted)
 		}
 	} else {
 		l.events = l.events[:0] // the ledger has kept what they told
@@ -244,6 +245,9 @@
 		}
 		l.keep(l.ledger.Closed(number))
 	}
+	if _, err := l.ledger.Flush(); err != nil {
+		l.keep(err)
+	}
 	next = l.next()
 	limits := l.config.Limits
 	switch {
@@ -409,11 +413,17 @@
 	l.intake.Answer(r, status, 0)
 }
 
-// answer tells the clients of notices just handed in whether they are taken on: those that the decisions end
-// in the same turn are not. Before a client hears that its notice is, the ledger has it.
-func (l *Loop) answer(taken []rules.NoticeID, actions []rules.Action) {
+// admitted is a notice that its client will be told is taken on.
+type admitted struct {
+	number  rules.NoticeID
+	request *intake.Request
+}
+
+// admit answers the clients of notices just handed in that the decisions end in the same turn, and gives the others to the
+// ledger.
+func (l *Loop) admit(taken []rules.NoticeID, actions []rules.Action) (all []admitted) {
 	if len(taken) == 0 {
-		return
+		return nil
 	}
 	ended := map[rules.NoticeID]rules.Action{}
 	for _, a := range actions {
@@ -440,11 +450,35 @@
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
 			Until: l.now.Add(span(r.Left)), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
-			l.counters.NoDisk++
-			l.intake.Answer(r, 503, 0)
-			n.over = true
-			l.release(number, n)
-			l.events = append(l.events, rules.NoticeWithdrawn{Notice: number})
+			l.withdraw(number, r)
+			continue
+		}
+		n.request = nil
+		all = append(all, admitted{number, r})
+	}
+	return all
+}
+
+// withdraw turns a notice away that the ledger can't keep.
+func (l *Loop) withdraw(number rules.NoticeID, r *intake.Request) {
+	l.counters.NoDisk++
+	l.intake.Answer(r, 503, 0)
+	n := l.notices[number]
+	n.over = true
+	l.calls.CallOff(number) // a call whose connection is still coming up must not leave
+	l.release(number, n)
+	l.events = append(l.events, rules.NoticeWithdrawn{Notice: number})
+}
+
+// acknowledge tells clients that their notices are taken on, once the ledger has them on disk: one write for all of a turn,
+// if no call left before.
+func (l *Loop) acknowledge(all []admitted) {
+	lost, err := l.ledger.Flush()
+	l.keep(err)
+	for _, a := range all {
+		number, r := a.number, a.request
+		if slices.Contains(lost, number) {
+			l.withdraw(number, r)
 			continue
 		}
 		l.counters.Taken++
@@ -453,7 +487,6 @@
 				"portfolio", settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), "key", strconv.FormatUint(uint64(r.Key), 10),
 				"destination", r.Destination, "body", r.Body.Len(), "left", span(r.Left))
 		}
-		n.request = nil
 		l.intake.Answer(r, 202, 0)
 	}
 }
--- /dev/null
+++ b/internal/model/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package model
+
+const raced = true
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -87,7 +87,7 @@
 		}
 	})
 	n.engine.OnData(func(nb *nbio.Conn, b []byte) {
-		c := nb.Session().(*Conn)
+		c := n.of(nb)
 		for len(b) > 0 {
 			buffer := pool.Get()
 			part := min(len(b), cap(*buffer))
@@ -97,7 +97,7 @@
 		}
 	})
 	n.engine.OnClose(func(nb *nbio.Conn, err error) {
-		c := nb.Session().(*Conn)
+		c := n.of(nb)
 		if c.owner == accepted {
 			n.mu.Lock()
 			n.clients--
@@ -116,6 +116,14 @@
 	return n, nil
 }
 
+// of is the connection that nbio means. Its goroutines learn of a dialled one through the kernel, which orders nothing in
+// memory: the lock does, against the goroutine that dialled it.
+func (n *Net) of(nb *nbio.Conn) *Conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return nb.Session().(*Conn)
+}
+
 // capped lets connections wait in the kernel while there are too many: their owner makes room.
 type capped struct {
 	net.Listener
@@ -203,8 +211,10 @@
 			n.put(event{conn: c, err: err})
 			return
 		}
+		n.mu.Lock()
 		c.nb = nb
 		nb.SetSession(c)
+		n.mu.Unlock()
 		// The opening is told once the poller knows the connection: no close by its owner can come before.
 		_, err = n.engine.AddConn(nb)
 		n.put(event{conn: c, opened: err == nil, err: err})
