--- a/cmd/chutelab/lab_test.go
+++ b/cmd/chutelab/lab_test.go
@@ -36,6 +36,7 @@
 		{"lab sweep --scenario sick --param sending.slots=8,64 --param sending.trips=1,4 --seeds 2 --out " + folder,
 			[]string{"sending.slots=8,sending.trips=4", "sending.slots=64,sending.trips=1"}},
 		{"lab sweep --scenario sick --param traffic.rate=50..400/s --samples 3 --seeds 1", []string{"traffic.rate="}},
+		{"lab sweep --scenario sick --param policy=ours,one-try --seeds 1", []string{"policy=one-try"}},
 		{"lab search --scenario brief --seeds 6 --write " + worst, []string{"lost: credit", "shortened:"}},
 		{"lab run --seeds 2 --scenario " + worst, []string{"| ours | 2 |"}},
 		{"lab search --scenario brief --seeds 4 --breaches", []string{"no rule broken in 4 runs"}},
--- a/internal/lab/spec.go
+++ b/internal/lab/spec.go
@@ -198,7 +198,11 @@
 }
 
 func (w Way) with(key, value string) Way {
-	w.Set = append(slices.Clone(w.Set), Setting{key, value})
+	if key == "policy" {
+		w.Policy = value
+	} else {
+		w.Set = append(slices.Clone(w.Set), Setting{key, value})
+	}
 	if name := key + "=" + value; w.Name == "" || w.Name == "ours" {
 		w.Name = name
 	} else {
