--- a/cmd/chutelab/load.go
+++ b/cmd/chutelab/load.go
@@ -138,7 +138,7 @@
 `, seed, length, settle, l.sockets, rate, l.ramp, l.body, l.slots, l.hold, l.senders, l.destinations, service, l.mean)
 	if l.held > 0 {
 		text = strings.Replace(text, "[traffic]", fmt.Sprintf("[traffic]\nfirst = %d\nfirst_group = \"dead\"\nfirst_grade = \"kept\"\nfirst_span = %q",
-			l.held, heldSpan), 1) + fmt.Sprintf(`
+			l.held, heldSpan), 1) + `
 [[grade]]
 name = "kept"
 quoted = "600s"
@@ -154,7 +154,7 @@
 group = "dead"
 at = "0s"
 for = "1h"
-`)
+`
 	}
 	if l.hang > 0 {
 		text += fmt.Sprintf("[[fault]]\nkind = \"hang\"\nat = %q\nfor = %q\npart = %f\n", l.length/5, l.length, l.hang)
