--- a/cmd/chutelab/trace.go
+++ b/cmd/chutelab/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -69,15 +70,7 @@
 			for i := range notices {
 				notices[i].At = rules.Millis(times[i].Sub(first)) / rules.Millis(time.Millisecond)
 			}
-			slices.SortStableFunc(notices, func(a, b scenario.Recorded) int {
-				switch {
-				case a.At < b.At:
-					return -1
-				case a.At > b.At:
-					return 1
-				}
-				return 0
-			})
+			slices.SortStableFunc(notices, func(a, b scenario.Recorded) int { return cmp.Compare(a.At, b.At) })
 			return scenario.WriteTrace(c.OutOrStdout(), notices)
 		},
 	}
--- a/internal/lab/rows.go
+++ b/internal/lab/rows.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -247,15 +248,7 @@
 			own = append(own, r)
 		}
 	}
-	slices.SortStableFunc(own, func(a, b Row) int {
-		switch {
-		case a.Seed < b.Seed:
-			return -1
-		case a.Seed > b.Seed:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(own, func(a, b Row) int { return cmp.Compare(a.Seed, b.Seed) })
 	for _, r := range own {
 		if x, ok := r.Figures[figure]; ok {
 			values = append(values, x)
--- a/internal/model/outside.go
+++ b/internal/model/outside.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -359,15 +360,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(c.script, func(a, b step) int {
-		switch {
-		case a.at < b.at:
-			return -1
-		case a.at > b.at:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(c.script, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 }
 
 // settle counts the effects whose time is over; with all, the others too.
