A ledger write that fails in part is cut off: no notice turned away comes back

Found on reading: with several records in one write a part of them may be whole when the disk fills. Killed then, the next process would send a notice whose client got 503. The file is cut back to what was told as written.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -284,9 +284,11 @@
 	return nil
 }
 
-// write puts what waits into the file. What was written in part is written over, or read as a torn end.
+// write puts what waits into the file. What was written in part is cut off: of several records some may be whole, and a
+// notice whose client is turned away must not come back to life.
 func (l *Ledger) write() error {
 	if _, err := l.file.WriteAt(l.out, l.size); err != nil {
+		l.file.Truncate(l.size)
 		return fmt.Errorf("ledger: %w", err)
 	}
 	return nil
