--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -4,7 +4,9 @@
 
 import (
 	"container/heap"
+	"context"
 	"errors"
+	"log/slog"
 	"math"
 	"slices"
 	"strconv"
@@ -15,6 +17,7 @@
 	"chuteweir.example/chuteweir/internal/buffers"
 	"chuteweir.example/chuteweir/internal/http1"
 	"chuteweir.example/chuteweir/internal/limits"
+	"chuteweir.example/chuteweir/internal/logs"
 	"chuteweir.example/chuteweir/internal/sockets"
 	"chuteweir.example/chuteweir/rules"
 )
@@ -29,7 +32,7 @@
 	Body     *buffers.Chain
 	TimeOut  time.Duration
 
-	begun   time.Time
+	Begun   time.Time // set by Send
 	due     time.Time // its time-out is over
 	place   int       // among those out
 	line    *line
@@ -42,6 +45,7 @@
 	parser   *http1.Parser
 	receiver rules.ReceiverID
 	up       bool
+	used     bool  // it has carried a call
 	call     *Call // nil: idle, or reading what is left of an answer
 	rest     bool  // the answer's head was enough, its body is still to come
 	gone     bool  // its receiver is listed no more
@@ -55,6 +59,8 @@
 	buffers *buffers.Pool
 	report  []string
 	before  func(*Call) error
+	log     *slog.Logger
+	tracing bool // each connection's way is logged
 
 	out   map[rules.NoticeID]*Call
 	late  byDue // those out, the first to time out in front
@@ -71,8 +77,9 @@
 
 // New makes a pool. report names the values of a load report in the decisions' order; before is asked just
 // before a call is written, and its error keeps the call from leaving.
-func New(l limits.Limits, pool *buffers.Pool, report []string, before func(*Call) error) *Pool {
-	return &Pool{limits: l, buffers: pool, report: report, before: before, out: map[rules.NoticeID]*Call{},
+func New(l limits.Limits, pool *buffers.Pool, report []string, log *slog.Logger, before func(*Call) error) *Pool {
+	return &Pool{limits: l, buffers: pool, report: report, before: before, log: log,
+		tracing: log.Enabled(context.Background(), slog.LevelDebug), out: map[rules.NoticeID]*Call{},
 		lines: map[*sockets.Conn]*line{}, idle: map[rules.ReceiverID][]*line{}}
 }
 
@@ -94,7 +101,7 @@
 
 // Send begins a call, on an idle connection if there is one.
 func (p *Pool) Send(c *Call) {
-	c.begun, c.due = p.now, p.now.Add(c.TimeOut)
+	c.Begun, c.due = p.now, p.now.Add(c.TimeOut)
 	p.out[c.Notice] = c
 	heap.Push(&p.late, c)
 	for idle := p.idle[c.Receiver]; len(idle) > 0; idle = p.idle[c.Receiver] {
@@ -102,7 +109,7 @@
 		// What has come unasked would be taken for this call's answer.
 		if !l.conn.Quiet() {
 			p.Stale++
-			p.drop(l)
+			p.drop(l, "not quiet before a call")
 			continue
 		}
 		p.unidle(l)
@@ -117,6 +124,9 @@
 	l := &line{receiver: c.Receiver, call: c, since: p.now,
 		parser: http1.NewParser(p.buffers, true, p.limits.Head, p.limits.Fields, p.limits.Body)}
 	c.line = l
+	if p.tracing {
+		p.log.Debug(logs.Connecting, "notice", c.Notice, "receiver", c.Receiver, "address", c.Address)
+	}
 	l.conn = p.net.Dial(c.Address, p.limits.ConnectTime, p)
 	p.lines[l.conn] = l
 }
@@ -130,7 +140,7 @@
 		}
 	}
 	if oldest != nil {
-		p.drop(oldest)
+		p.drop(oldest, "room for another connection")
 	}
 	return oldest != nil
 }
@@ -144,22 +154,30 @@
 	// A process that stood still finds connections that came up long ago: since then its receiver may have been told to
 	// drain, and the decisions have not been asked again.
 	if c := l.call; c != nil && p.now.Sub(l.since) > p.limits.ConnectTime {
-		p.drop(l)
+		p.drop(l, "came up too late")
 		p.end(c, rules.NotConnected)
 		return
 	}
 	l.up = true
+	if p.tracing {
+		p.log.Debug(logs.Connected, "notice", l.notice(), "receiver", l.receiver, "took", p.now.Sub(l.since))
+	}
 	p.write(l)
 }
 
 func (p *Pool) write(l *line) {
 	c := l.call
 	if err := p.before(c); err != nil {
-		p.drop(l)
+		p.drop(l, "trip not recorded")
 		p.end(c, rules.Short)
 		return
 	}
-	wait := max(c.TimeOut-p.now.Sub(c.begun), time.Millisecond)
+	if p.tracing {
+		p.log.Debug(logs.Written, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver, "begun_ago", p.now.Sub(c.Begun),
+			"fresh", !l.used)
+	}
+	l.used = true
+	wait := max(c.TimeOut-p.now.Sub(c.Begun), time.Millisecond)
 	fields := []http1.Field{
 		{Name: "Request-Id", Value: c.ID},
 		{Name: "Request-Timeout-Ms", Value: strconv.FormatInt(int64(math.Ceil(wait.Seconds()*1000)), 10)},
@@ -182,13 +200,13 @@
 	}
 	if l.call == nil && !l.rest {
 		p.Stale++
-		p.drop(l) // nothing was asked
+		p.drop(l, "said something unasked")
 		return
 	}
 	rest, done, err := l.parser.Feed(b)
 	switch {
 	case err != nil:
-		p.broke(l)
+		p.broke(l, "answer spoilt: "+err.Error())
 	case done:
 		p.answered(l, l.parser.Take(), len(rest) > 0)
 	case l.call != nil && l.parser.HeadRead() && l.parser.Status() == 200:
@@ -208,12 +226,16 @@
 		p.answered(l, l.parser.Take(), true)
 		return
 	}
+	reason := "closed by the receiver"
+	if why != nil {
+		reason = why.Error()
+	}
 	if c := l.call; !l.up && c != nil && ours(why) {
-		p.drop(l)
+		p.drop(l, reason)
 		p.end(c, rules.Short)
 		return
 	}
-	p.broke(l)
+	p.broke(l, reason)
 }
 
 // ours tells a connection that did not come up for want of something of this machine's from one that the receiver, or
@@ -229,7 +251,7 @@
 
 // broke ends a call whose connection ended or went wrong. Of an answer that can't be read to its end only a first
 // line of 200 holds: whatever else it claims, the call may have run. A wait that it tells is kept all the same.
-func (p *Pool) broke(l *line) {
+func (p *Pool) broke(l *line, why string) {
 	c, status, begun := l.call, l.parser.Status(), l.parser.Begun()
 	e := rules.TripEnded{Result: rules.Reset}
 	switch {
@@ -240,7 +262,7 @@
 	case status == 429 || status == 503:
 		e.Wait = wait(l.parser.Message())
 	}
-	p.drop(l)
+	p.drop(l, why)
 	if c != nil {
 		if begun {
 			p.Spoilt++
@@ -259,7 +281,7 @@
 		p.outcome(l, m)
 	}
 	if l.rest, l.since = false, p.now; m.Close || more || l.gone {
-		p.drop(l)
+		p.drop(l, "answer said so, had more behind it, or the receiver is gone")
 	} else {
 		p.idle[l.receiver] = append(p.idle[l.receiver], l)
 	}
@@ -325,7 +347,7 @@
 	delete(p.out, c.Notice)
 	heap.Remove(&p.late, c.place)
 	e.Notice, e.Receiver = c.Notice, c.Receiver
-	e.Spent = rules.Millis(float64(p.now.Sub(c.begun)) / float64(time.Millisecond))
+	e.Spent = rules.Millis(float64(p.now.Sub(c.Begun)) / float64(time.Millisecond))
 	e.Over = e.Over || e.Result == rules.Handled
 	p.ended = append(p.ended, e)
 }
@@ -343,15 +365,15 @@
 	case !c.written:
 		result = rules.NotConnected
 	}
+	p.drop(c.line, "call "+result.String())
 	c.line.call = nil
-	p.drop(c.line)
 	p.end(c, result)
 }
 
 // LetGo closes the idle connections to a receiver.
 func (p *Pool) LetGo(receiver rules.ReceiverID) {
 	for _, l := range append([]*line(nil), p.idle[receiver]...) {
-		p.drop(l)
+		p.drop(l, "let go")
 	}
 }
 
@@ -365,7 +387,18 @@
 	}
 }
 
-func (p *Pool) drop(l *line) {
+// notice is the notice of the call that a connection carries, or 0.
+func (l *line) notice() rules.NoticeID {
+	if l.call == nil {
+		return 0
+	}
+	return l.call.Notice
+}
+
+func (p *Pool) drop(l *line, why string) {
+	if p.tracing {
+		p.log.Debug(logs.Disconnected, "notice", l.notice(), "receiver", l.receiver, "why", why, "connected", l.up)
+	}
 	l.conn.Close()
 	l.parser.Free()
 	delete(p.lines, l.conn)
@@ -415,12 +448,12 @@
 func (p *Pool) Sweep() {
 	for _, l := range p.lines {
 		if l.rest && p.now.Sub(l.since) > p.limits.RestTime {
-			p.drop(l)
+			p.drop(l, "answer does not end")
 		}
 	}
 	for receiver := range p.idle {
 		for len(p.idle[receiver]) > 0 && p.now.Sub(p.idle[receiver][0].since) > p.limits.ReceiverIdle {
-			p.drop(p.idle[receiver][0])
+			p.drop(p.idle[receiver][0], "idle")
 		}
 	}
 }
--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -60,7 +61,7 @@
 	}()
 	l := limits.For(limits.Machine{}, rules.Settings{IdleKept: 10_000}, 1000)
 	pool := buffers.NewPool(l.Buffer)
-	s.pool = New(l, pool, []string{"x0", "x1"}, func(*Call) error { return nil })
+	s.pool = New(l, pool, []string{"x0", "x1"}, slog.New(slog.DiscardHandler), func(*Call) error { return nil })
 	if s.net, err = sockets.Start("127.0.0.1:0", l, pool, s.pool); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -28,6 +28,12 @@
 	Outcome = "outcome"
 	Ended   = "ended"
 	Closed  = "closed"
+
+	WrittenInWait = "written_in_wait"
+	Connecting    = "connecting"
+	Connected     = "connected"
+	Disconnected  = "disconnected"
+	Written       = "written"
 )
 
 // Event is one kind of line.
@@ -51,11 +57,16 @@
 	{PlatformBroken, "warn", []string{"why"}, true, "an answer of the platform could not be used; the last list holds, ends are told again"},
 	{LedgerTorn, "warn", []string{"bytes"}, false, "the ledger's end could not be read: the process before was killed within a write"},
 	{LedgerFailed, "error", []string{"why"}, true, "the ledger could not be written"},
+	{WrittenInWait, "warn", []string{"id", "notice", "receiver", "begun_ago", "left"}, true, "a call was written while its destination had told to wait: `left` is what was left of that, `begun_ago` is since the call was decided on"},
 	{LinesDropped, "warn", []string{"count"}, false, "standard error was not read for a while; so many lines are lost"},
 	{LeftOut, "info", []string{"event", "count"}, false, "so many lines of an event were left out, as they came too often"},
 	{Taken, "debug", []string{"id", "notice", "grade", "portfolio", "key", "destination", "body", "left"}, false, "a notice was taken on"},
 	{Refused, "debug", []string{"id", "status"}, false, "a notice was turned away with this status"},
 	{Trip, "debug", []string{"id", "notice", "receiver", "address", "time_out"}, false, "a trip was begun"},
+	{Connecting, "debug", []string{"notice", "receiver", "address"}, false, "a connection to a receiver was begun for a call"},
+	{Connected, "debug", []string{"notice", "receiver", "took"}, false, "a connection to a receiver came up"},
+	{Written, "debug", []string{"id", "notice", "receiver", "begun_ago", "fresh"}, false, "a call was written; `fresh`: on a connection that carried none before"},
+	{Disconnected, "debug", []string{"notice", "receiver", "why", "connected"}, false, "a connection to a receiver ended, with the call that it carried or 0; `why` also tells who ended it"},
 	{Outcome, "debug", []string{"id", "notice", "receiver", "result", "spent", "wait"}, false, "a trip came to its end"},
 	{Ended, "debug", []string{"id", "notice", "outcome", "retry_in_ms"}, false, "a notice has its final answer, other than by being handled"},
 	{Closed, "debug", []string{"notice"}, false, "the platform has taken that answer; nothing more is owed"},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -93,7 +93,7 @@
 	}
 	l.sender = rules.New(c.Seed, l.config.Settings)
 	l.intake = intake.New(c.Limits, l.buffers, c.Names, l.receivers.Knows, func() string { return l.counted().Page() })
-	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, l.record)
+	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, l.record)
 	l.directory = directory.New(c.Discovery, c.Limits, l.buffers, l.receivers, c.Known.Revision)
 	known := c.Known
 	known.Complete = true
@@ -346,6 +346,11 @@
 
 // record writes a trip into the ledger, just before its call is written.
 func (l *Loop) record(c *calls.Call) error {
+	if left := l.sender.WaitLeft(c.Receiver, millis(l.now.Sub(l.started))); left > 0 {
+		l.counters.InWait++
+		l.log.Warn(logs.WrittenInWait, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver, "begun_ago", l.now.Sub(c.Begun),
+			"left", span(left))
+	}
 	zone := settings.Name(l.config.Names.Zones, int(c.Zone))
 	err := l.ledger.Trip(c.Notice, ledger.Trip{At: l.now, Zone: zone})
 	l.keep(err)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -359,6 +359,7 @@
 		r.out = slices.DeleteFunc(r.out, func(o *call) bool { return o == c })
 	}
 	r.waitUntil = max(r.waitUntil, s.now+e.Wait)
+	r.toldUntil = max(r.toldUntil, s.now+e.Wait)
 	if c.waiting == 0 && !s.keeps(c.receiver) {
 		s.do(LetGo{c.receiver.id})
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -96,6 +96,7 @@
 	mean, best, answeredAt Millis
 	window                 float64
 	waitUntil, backoff     Millis
+	toldUntil              Millis  // until when it has told to wait: no more than waitUntil
 	limitRate, limitLeft   float64 // as told, a millisecond, and the share that is left
 	listedRate             float64 // as listed, a millisecond
 	share                  float64 // of the limit, that this sender may use
@@ -387,6 +388,14 @@
 	}
 }
 
+// WaitLeft is how much is left at a time of the wait that a receiver's destination, or its route, has told; 0: none.
+func (s *Sender) WaitLeft(receiver ReceiverID, now Millis) Millis {
+	if rc := s.receivers[receiver]; rc != nil {
+		return max(rc.route.toldUntil-now, 0)
+	}
+	return 0
+}
+
 // stir notes that a route has something to look after each turn.
 func (s *Sender) stir(r *route) {
 	if r.stirs {
