--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// Block keeps new connections to a receiver from coming up until Unblock.
+func (g *Gateways) Block(id string) error { return g.with(id, (*receiver).block) }
+
+// Unblock lets new connections to a receiver come up again.
+func (g *Gateways) Unblock(id string) error { return g.with(id, (*receiver).unblock) }
+
+func (g *Gateways) with(id string, do func(*receiver)) error {
+	g.mu.Lock()
+	r := g.receivers[id]
+	g.mu.Unlock()
+	if r == nil {
+		return fmt.Errorf("no receiver %s", id)
+	}
+	do(r)
+	return nil
+}
+
 // Address is where a receiver takes calls.
 func (g *Gateways) Address(id string) string {
 	g.mu.Lock()
--- a/rules/api.go
+++ b/rules/api.go
@@ -110,7 +110,8 @@
 
 // String names a result.
 func (r Result) String() string {
-	return [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot", "short"}[r]
+	names := [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot", "short"}
+	return names[r]
 }
 
 // Event is something that happened to this sender.
