--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -67,6 +67,7 @@
 	lines map[*sockets.Conn]*line
 	idle  map[rules.ReceiverID][]*line // the one used last at the end
 	ended []rules.TripEnded
+	up    []rules.ConnectionUp
 	now   time.Time
 	bytes []byte
 
@@ -145,14 +146,20 @@
 	return oldest != nil
 }
 
-// Opened writes the call that waited for its connection.
+// Up hands over the calls whose connections have come up since the last time: each waits for Write or Recall.
+func (p *Pool) Up() []rules.ConnectionUp {
+	up := p.up
+	p.up = nil
+	return up
+}
+
+// Opened asks whether the call that waited for its connection may still leave.
 func (p *Pool) Opened(conn *sockets.Conn) {
 	l := p.lines[conn]
 	if l == nil {
 		return
 	}
-	// A process that stood still finds connections that came up long ago: since then its receiver may have been told to
-	// drain, and the decisions have not been asked again.
+	// A process that stood still finds connections that came up long ago.
 	if c := l.call; c != nil && p.now.Sub(l.since) > p.limits.ConnectTime {
 		p.drop(l, "came up too late")
 		p.end(c, rules.NotConnected)
@@ -162,7 +169,37 @@
 	if p.tracing {
 		p.log.Debug(logs.Connected, "notice", l.notice(), "receiver", l.receiver, "took", p.now.Sub(l.since))
 	}
-	p.write(l)
+	p.up = append(p.up, rules.ConnectionUp{Notice: l.call.Notice})
+}
+
+// Write lets a call leave whose connection has come up.
+func (p *Pool) Write(notice rules.NoticeID) {
+	c := p.out[notice]
+	if c == nil || c.written || !c.line.up {
+		return
+	}
+	if !c.line.conn.Quiet() {
+		p.drop(c.line, "ended or said something before its first call")
+		p.end(c, rules.NotConnected)
+		return
+	}
+	p.write(c.line)
+}
+
+// Recall takes a call back whose connection has come up, and keeps the connection.
+func (p *Pool) Recall(notice rules.NoticeID) {
+	c := p.out[notice]
+	if c == nil || c.written || !c.line.up {
+		return
+	}
+	l := c.line
+	l.call, l.since = nil, p.now
+	if l.gone {
+		p.drop(l, "the receiver is gone")
+	} else {
+		p.idle[l.receiver] = append(p.idle[l.receiver], l)
+	}
+	p.end(c, rules.Recalled)
 }
 
 func (p *Pool) write(l *line) {
@@ -198,6 +235,12 @@
 	if l == nil {
 		return
 	}
+	if l.call != nil && !l.call.written {
+		c := l.call
+		p.drop(l, "said something before its first call")
+		p.end(c, rules.NotConnected)
+		return
+	}
 	if l.call == nil && !l.rest {
 		p.Stale++
 		p.drop(l, "said something unasked")
@@ -459,4 +502,4 @@
 }
 
 // Waiting tells whether there are outcomes that were not handed over.
-func (p *Pool) Waiting() bool { return len(p.ended) > 0 }
+func (p *Pool) Waiting() bool { return len(p.ended) > 0 || len(p.up) > 0 }
--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -91,6 +91,9 @@
 	s.pool.At(time.Now())
 	s.pool.Expire()
 	s.net.Gather()
+	for _, up := range s.pool.Up() {
+		s.pool.Write(up.Notice)
+	}
 	s.pool.Sweep()
 }
 
--- a/internal/loop/counters.go
+++ b/internal/loop/counters.go
@@ -19,6 +19,7 @@
 	NoHold, NoBytes, NoDisk                            int // refused, parts of NoRoom: the hold limit, bodies, the ledger
 	Short, ForRoom                                     int // calls not sent for a shortage of ours; notices dismissed to make room
 	Spoilt, Beyond, Stale                              int // answers and connections that calls could not use
+	Recalled                                           int // calls taken back as their connections came up
 	InWait                                             int // calls written within a told wait
 	Repeated, NoRoom                                   int // refused: an id taken on before, out of room
 	intake.Refusals
@@ -40,7 +41,7 @@
 		slog.Int("refused_hold", c.NoHold), slog.Int("refused_bodies", c.NoBytes), slog.Int("refused_ledger", c.NoDisk),
 		slog.Int("further", c.Further), slog.Int("out", c.Out), slog.Int("held", c.Held),
 		slog.Int("short", c.Short), slog.Int("dismissed_for_room", c.ForRoom),
-		slog.Int("written_in_wait", c.InWait),
+		slog.Int("written_in_wait", c.InWait), slog.Int("recalled", c.Recalled),
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -237,6 +237,7 @@
 			l.acknowledge(admitted)
 		}
 	} else {
+		l.recallAll()
 		l.events = l.events[:0] // the ledger has kept what they told
 	}
 	for _, number := range l.directory.Told() {
@@ -262,6 +263,15 @@
 	return next, done
 }
 
+// recallAll takes back the calls whose connections have come up when no trip may begin any more.
+func (l *Loop) recallAll() {
+	for _, e := range l.events {
+		if up, is := e.(rules.ConnectionUp); is {
+			l.calls.Recall(up.Notice)
+		}
+	}
+}
+
 // next is when something is due that no socket tells.
 func (l *Loop) next() time.Time {
 	next := l.sweepAt
@@ -298,6 +308,9 @@
 		l.book(e)
 		l.events = append(l.events, e)
 	}
+	for _, up := range l.calls.Up() {
+		l.events = append(l.events, up)
+	}
 	due := len(l.timers)
 	l.timers = slices.DeleteFunc(l.timers, func(at time.Time) bool { return !at.After(l.now) })
 	if len(l.timers) < due {
@@ -326,14 +339,15 @@
 		l.counters.Unsent++
 	case rules.Short:
 		l.counters.Short++
-		if n.trips > 1 {
-			l.counters.Further--
-		}
-		n.trips--
+		l.uncount(n)
+	case rules.Recalled:
+		l.counters.Recalled++
+		l.uncount(n)
 	default:
 		l.counters.Lost++
 	}
-	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short
+	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short ||
+		e.Result == rules.Recalled
 	if e.Over {
 		n.over = true
 		l.keep(l.ledger.Closed(e.Notice))
@@ -344,6 +358,14 @@
 	l.release(e.Notice, n)
 }
 
+// uncount takes back a trip that has not left.
+func (l *Loop) uncount(n *held) {
+	if n.trips > 1 {
+		l.counters.Further--
+	}
+	n.trips--
+}
+
 // record writes a trip into the ledger, just before its call is written.
 func (l *Loop) record(c *calls.Call) error {
 	if left := l.sender.WaitLeft(c.Receiver, millis(l.now.Sub(l.started))); left > 0 {
@@ -525,6 +547,10 @@
 		l.calls.Send(&calls.Call{Notice: a.Notice, Receiver: a.Receiver, Address: l.receivers.Addresses[a.Receiver],
 			Zone: l.receivers.Zones[a.Receiver],
 			ID:   n.id, Mark: n.mark, Body: n.body, TimeOut: span(a.TimeOut)})
+	case rules.Write:
+		l.calls.Write(a.Notice)
+	case rules.Recall:
+		l.calls.Recall(a.Notice)
 	case rules.Dismiss:
 		if a.ForRoom {
 			l.counters.ForRoom++
--- a/internal/model/baseline.go
+++ b/internal/model/baseline.go
@@ -117,6 +117,8 @@
 			heap.Push(&p.waiting, n)
 		case rules.TripEnded:
 			p.ended(e)
+		case rules.ConnectionUp:
+			p.do(rules.Write(e))
 		case rules.ListFailed:
 			p.do(rules.WatchList{})
 		}
--- a/internal/model/sender.go
+++ b/internal/model/sender.go
@@ -331,6 +331,14 @@
 		if h := s.notices[a.Notice]; h != nil {
 			s.send(h, a)
 		}
+	case rules.Write:
+		if h := s.notices[a.Notice]; h != nil && h.call != nil && h.call.conn.up && !h.call.written {
+			s.write(h.call.conn)
+		}
+	case rules.Recall:
+		if h := s.notices[a.Notice]; h != nil && h.call != nil && h.call.conn.up && !h.call.written {
+			s.recall(h.call)
+		}
 	case rules.Dismiss:
 		s.end(a.Notice, "handed_back", a.RetryAfter)
 	case rules.BreakOff:
@@ -406,13 +414,23 @@
 	return oldest != nil
 }
 
-// opened writes the call that waited for its connection.
+// opened asks whether the call that waited for its connection may still leave.
 func (s *sender) opened(l *conn) {
 	if l.gone {
 		return // given up meanwhile; the site has heard
 	}
 	l.up = true
-	s.write(l)
+	s.happened(rules.ConnectionUp{Notice: l.call.notice})
+}
+
+// recall takes a call back whose connection has come up, and keeps the connection.
+func (s *sender) recall(c *call) {
+	l := c.conn
+	l.call, l.since = nil, s.now()
+	s.idle[l.receiver] = append(s.idle[l.receiver], l)
+	s.wakeBy(s.now() + millisOf(s.limits.ReceiverIdle))
+	s.notices[c.notice].trips--
+	s.tell(c, rules.TripEnded{Result: rules.Recalled})
 }
 
 // write hands a call to its connection: its trip is in the ledger from here on.
@@ -476,7 +494,8 @@
 	h.call = nil
 	e.Notice, e.Receiver, e.Spent = c.notice, c.receiver, s.now()-c.begun
 	e.Over = e.Over || e.Result == rules.Handled
-	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short
+	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short ||
+		e.Result == rules.Recalled
 	if h.recorded && unrun {
 		h.ran = h.ran[:len(h.ran)-1]
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -104,13 +104,15 @@
 	NotConnected // never ran
 	Reset
 	Cancelled
-	Moot  // not sent, and counts as a trip
-	Short // not sent, for a shortage of this sender's own: counts as no trip
+	Moot     // not sent, and counts as a trip
+	Short    // not sent, for a shortage of this sender's own: counts as no trip
+	Recalled // not sent, as it may not leave any more: counts as no trip
 )
 
 // String names a result.
 func (r Result) String() string {
-	names := [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot", "short"}
+	names := [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot", "short",
+		"recalled"}
 	return names[r]
 }
 
@@ -146,6 +148,9 @@
 		LimitLeft float64 // share of the limit that is left
 		LimitRate float64 // calls a second; 0: no limit
 	}
+	// ConnectionUp says that the connection for a call has come up, and asks whether the call may still leave: the answer
+	// is Write or Recall. A call that went on an idle connection was written at once.
+	ConnectionUp struct{ Notice NoticeID }
 	// NoticeWithdrawn says that nothing more is owed for a notice.
 	NoticeWithdrawn struct{ Notice NoticeID }
 	// ListTold brings list entries: all of them, or those that changed.
@@ -161,6 +166,7 @@
 
 func (NoticeTaken) event()     {}
 func (TripEnded) event()       {}
+func (ConnectionUp) event()    {}
 func (NoticeWithdrawn) event() {}
 func (ListTold) event()        {}
 func (ListFailed) event()      {}
@@ -176,6 +182,10 @@
 		Receiver ReceiverID
 		TimeOut  Millis
 	}
+	// Write lets a call leave whose connection has come up.
+	Write struct{ Notice NoticeID }
+	// Recall takes a call back whose connection has come up; its outcome is Recalled.
+	Recall struct{ Notice NoticeID }
 	// Dismiss ends a notice: trying again is harmless.
 	Dismiss struct {
 		Notice     NoticeID
@@ -207,6 +217,8 @@
 )
 
 func (Send) action()      {}
+func (Write) action()     {}
+func (Recall) action()    {}
 func (Dismiss) action()   {}
 func (BreakOff) action()  {}
 func (CallOff) action()   {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -85,6 +85,7 @@
 	}
 	s.tidy()
 	s.stepBreakers()
+	s.connectionsUp(events)
 	s.weighGrades()
 	s.giveUp()
 	s.serve()
@@ -305,14 +306,16 @@
 	c := n.out
 	n.out = nil
 	s.settleCall(c, e)
-	mayRun := e.Result != Full && e.Result != NotConnected && e.Result != Moot && e.Result != Short
+	mayRun := e.Result != Full && e.Result != NotConnected && e.Result != Moot && !unsent(e.Result)
 	if k := s.keys[n.key]; k != nil && (e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled) {
 		k.restUntil = s.now + s.settings.KeyRest
 	}
-	if e.Result == Short {
+	if unsent(e.Result) {
 		n.trips--
+	}
+	if e.Result == Short {
 		s.shortage()
-	} else if n.trips > 1 && e.Result != Moot {
+	} else if n.trips > 1 && e.Result != Moot && e.Result != Recalled {
 		s.further.add(s.now, statisticsWindow, 1)
 		if e.Result == Handled {
 			s.won.add(s.now, statisticsWindow, 1)
@@ -334,13 +337,16 @@
 		}
 	}
 	// How often a further trip is made follows how many of the recent ones succeeded.
-	if e.Result != Full && e.Result != Moot && e.Result != Short {
+	if e.Result != Full && e.Result != Moot && !unsent(e.Result) {
 		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.further.read(s.now, statisticsWindow) + 1)
 		n.restUntil = s.now + n.grade.QuotedTime/16*Millis(1/succeeded-1)
 	}
 	s.wait(n)
 }
 
+// unsent tells an outcome that counts as no trip.
+func unsent(result Result) bool { return result == Short || result == Recalled }
+
 // shortage heeds that a call could not be sent for want of something of this sender's own (a connection, a
 // descriptor, room in its ledger). It tells nothing of the notice or of the destination: all wait, longer
 // each time, until something is handled, so that a shortage is neither asked after without end nor outlived.
@@ -360,14 +366,14 @@
 	}
 	r.waitUntil = max(r.waitUntil, s.now+e.Wait)
 	r.toldUntil = max(r.toldUntil, s.now+e.Wait)
-	if c.waiting == 0 && !s.keeps(c.receiver) {
+	if c.waiting == 0 && e.Result != Recalled && !s.keeps(c.receiver) {
 		s.do(LetGo{c.receiver.id})
 	}
 	if c.judged {
 		return
 	}
 	c.judged = true
-	if e.Result != Short {
+	if !unsent(e.Result) {
 		s.bookConnection(c, e)
 	}
 	if e.LimitTold {
@@ -382,7 +388,7 @@
 	case e.Result == Full:
 		s.earn(c.receiver, 1)
 		s.refused(r, c, e.Wait)
-	case e.Result == Moot || e.Result == Short || e.Result == Cancelled && !c.off,
+	case e.Result == Moot || unsent(e.Result) || e.Result == Cancelled && !c.off,
 		e.Result == TimedOut && c.curbed:
 		s.earn(c.receiver, 1)
 	default:
--- a/rules/trace_test.go
+++ b/rules/trace_test.go
@@ -21,6 +21,7 @@
 	due    Millis
 	// calledOff is the calls given up, whose outcome the test may tell.
 	calledOff []NoticeID
+	recalled  []NoticeID // whose outcome the test may tell
 	text      strings.Builder
 }
 
@@ -76,6 +77,11 @@
 		case CallOff:
 			t.calledOff = append(t.calledOff, a.Notice)
 			t.say("call off %d, trip %d", a.Notice, a.Trip)
+		case Write:
+			t.say("write %d", a.Notice)
+		case Recall:
+			t.say("recall %d", a.Notice)
+			t.recalled = append(t.recalled, a.Notice)
 		case LetGo:
 			t.say("let go of idle connections to %d", a.Receiver)
 		case SetTimer:
