--- a/cmd/chuteweir/waits_test.go
+++ b/cmd/chuteweir/waits_test.go
@@ -80,3 +80,38 @@
 	w.await(1, "receiver: POST /events late")
 	w.checkWaits()
 }
+
+// heedsWait checks that nothing is sent within a wait of 2 s that is told by the way a receiver answers a first call.
+func heedsWait(t *testing.T, first func(*waitWatch, *standin.Asked) standin.Reply, replaced ...string) {
+	w := watchWaits(begin(t, replaced...))
+	w.answers(func(a *standin.Asked) standin.Reply {
+		w.arrived(a.ID)
+		if a.ID != "tells" || w.hasTold() {
+			return standin.Reply{Status: 200}
+		}
+		return first(w, a)
+	})
+	w.hand("note", "tells", 9000, 1)
+	for !w.hasTold() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(2 * crossing)
+	w.hand("note", "next", 9000, 1)
+	w.await(1, "receiver: POST /events next")
+	w.checkWaits()
+}
+
+func TestWaitOfAnswerThatDoesNotEndIsHeeded(t *testing.T) {
+	for name, raw := range map[string]string{
+		"body": "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\nContent-Length: 10\r\n\r\nhalf",
+		"head": "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nServer: slow",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			heedsWait(t, func(w *waitWatch, _ *standin.Asked) standin.Reply {
+				w.tells(2 * time.Second)
+				return standin.Reply{Raw: raw}
+			})
+		})
+	}
+}
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -50,6 +50,8 @@
 	rest     bool  // the answer's head was enough, its body is still to come
 	gone     bool  // its receiver is listed no more
 	since    time.Time
+	// waitUntil is the end of the wait that the answer being read has told; zero: none.
+	waitUntil time.Time
 }
 
 // Pool is all connections to receivers.
@@ -68,6 +70,7 @@
 	idle  map[rules.ReceiverID][]*line // the one used last at the end
 	ended []rules.TripEnded
 	up    []rules.ConnectionUp
+	waits []rules.WaitTold
 	now   time.Time
 	bytes []byte
 
@@ -153,6 +156,13 @@
 	return up
 }
 
+// Waits hands over the waits that were told since the last time by answers whose end has not come.
+func (p *Pool) Waits() []rules.WaitTold {
+	waits := p.waits
+	p.waits = nil
+	return waits
+}
+
 // Opened asks whether the call that waited for its connection may still leave.
 func (p *Pool) Opened(conn *sockets.Conn) {
 	l := p.lines[conn]
@@ -223,7 +233,7 @@
 		fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: c.Mark})
 	}
 	p.bytes = http1.AppendRequest(p.bytes[:0], "POST", "/events", c.Address, fields, c.Body.Len())
-	c.written = true
+	c.written, l.waitUntil = true, time.Time{}
 	// An error is told by Closed, which knows from what was written whether the call can have run.
 	l.conn.Write(c.Body.AppendTo(p.bytes))
 	l.since = p.now
@@ -256,9 +266,34 @@
 		// All that counts has come. A body that goes on and on must not hold the call up.
 		l.rest = true
 		p.outcome(l, l.parser.Message())
+	default:
+		p.hearWait(l)
+	}
+}
+
+// hearWait tells a wait as soon as it has been read: the answer's end may come late or never.
+func (p *Pool) hearWait(l *line) {
+	told := wait(l.parser.Message())
+	if told <= 0 || !l.waitUntil.IsZero() || !refusal(l.parser.Status()) {
+		return
 	}
+	l.waitUntil = p.now.Add(span(told))
+	p.waits = append(p.waits, rules.WaitTold{Receiver: l.receiver, Wait: told})
 }
 
+// waitLeft is what is left of the wait that an answer tells.
+func (p *Pool) waitLeft(l *line, m *http1.Message) rules.Millis {
+	until := l.waitUntil
+	if l.waitUntil = (time.Time{}); until.IsZero() {
+		return wait(m)
+	}
+	return max(rules.Millis(until.Sub(p.now).Seconds()*1000), 0)
+}
+
+func refusal(status int) bool { return status == 429 || status == 503 }
+
+func span(m rules.Millis) time.Duration { return time.Duration(m * rules.Millis(time.Millisecond)) }
+
 // Closed ends a connection from outside.
 func (p *Pool) Closed(conn *sockets.Conn, why error) {
 	l := p.lines[conn]
@@ -302,8 +337,8 @@
 		e.Result = rules.Handled
 	case !begun && !(l.up && c != nil && c.written && l.conn.Written()):
 		e.Result = rules.NotConnected
-	case status == 429 || status == 503:
-		e.Wait = wait(l.parser.Message())
+	case refusal(status):
+		e.Wait = p.waitLeft(l, l.parser.Message())
 	}
 	p.drop(l, why)
 	if c != nil {
@@ -341,7 +376,7 @@
 		if m.Get("x-line-busy") == "1" {
 			e.Result = rules.Moot
 		} else {
-			e.Wait = wait(m)
+			e.Wait = p.waitLeft(l, m)
 		}
 	case 504:
 		e.Result = rules.Moot
@@ -502,4 +537,4 @@
 }
 
 // Waiting tells whether there are outcomes that were not handed over.
-func (p *Pool) Waiting() bool { return len(p.ended) > 0 || len(p.up) > 0 }
+func (p *Pool) Waiting() bool { return len(p.ended)+len(p.up)+len(p.waits) > 0 }
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -34,6 +34,7 @@
 	Connected     = "connected"
 	Disconnected  = "disconnected"
 	Written       = "written"
+	WaitTold      = "wait_told"
 )
 
 // Event is one kind of line.
@@ -67,6 +68,7 @@
 	{Connected, "debug", []string{"notice", "receiver", "took"}, false, "a connection to a receiver came up"},
 	{Written, "debug", []string{"id", "notice", "receiver", "begun_ago", "fresh"}, false, "a call was written; `fresh`: on a connection that carried none before"},
 	{Disconnected, "debug", []string{"notice", "receiver", "why", "connected"}, false, "a connection to a receiver ended, with the call that it carried or 0; `why` also tells who ended it"},
+	{WaitTold, "debug", []string{"receiver", "wait"}, false, "a receiver told to wait by an answer whose end has not come; waits told by whole answers stand in `outcome`"},
 	{Outcome, "debug", []string{"id", "notice", "receiver", "result", "spent", "wait"}, false, "a trip came to its end"},
 	{Ended, "debug", []string{"id", "notice", "outcome", "retry_in_ms"}, false, "a notice has its final answer, other than by being handled"},
 	{Closed, "debug", []string{"notice"}, false, "the platform has taken that answer; nothing more is owed"},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -308,6 +308,12 @@
 		l.book(e)
 		l.events = append(l.events, e)
 	}
+	for _, told := range l.calls.Waits() {
+		if l.tracing {
+			l.log.Debug(logs.WaitTold, "receiver", told.Receiver, "wait", span(told.Wait))
+		}
+		l.events = append(l.events, told)
+	}
 	for _, up := range l.calls.Up() {
 		l.events = append(l.events, up)
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -151,6 +151,11 @@
 	// ConnectionUp says that the connection for a call has come up, and asks whether the call may still leave: the answer
 	// is Write or Recall. A call that went on an idle connection was written at once.
 	ConnectionUp struct{ Notice NoticeID }
+	// WaitTold brings a wait before the outcome of its call is known, or after.
+	WaitTold struct {
+		Receiver ReceiverID
+		Wait     Millis
+	}
 	// NoticeWithdrawn says that nothing more is owed for a notice.
 	NoticeWithdrawn struct{ Notice NoticeID }
 	// ListTold brings list entries: all of them, or those that changed.
@@ -167,6 +172,7 @@
 func (NoticeTaken) event()     {}
 func (TripEnded) event()       {}
 func (ConnectionUp) event()    {}
+func (WaitTold) event()        {}
 func (NoticeWithdrawn) event() {}
 func (ListTold) event()        {}
 func (ListFailed) event()      {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -69,6 +69,10 @@
 			s.take(e)
 		case TripEnded:
 			s.tripEnded(e)
+		case WaitTold:
+			if rc := s.receivers[e.Receiver]; rc != nil {
+				s.waitTold(rc.route, e.Wait)
+			}
 		case NoticeWithdrawn:
 			if n := s.notices[e.Notice]; n != nil {
 				s.forget(n)
@@ -364,8 +368,7 @@
 		s.slotsOut--
 		r.out = slices.DeleteFunc(r.out, func(o *call) bool { return o == c })
 	}
-	r.waitUntil = max(r.waitUntil, s.now+e.Wait)
-	r.toldUntil = max(r.toldUntil, s.now+e.Wait)
+	s.waitTold(r, e.Wait)
 	if c.waiting == 0 && e.Result != Recalled && !s.keeps(c.receiver) {
 		s.do(LetGo{c.receiver.id})
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -388,14 +388,6 @@
 	}
 }
 
-// WaitLeft is how much is left at a time of the wait that a receiver's destination, or its route, has told; 0: none.
-func (s *Sender) WaitLeft(receiver ReceiverID, now Millis) Millis {
-	if rc := s.receivers[receiver]; rc != nil {
-		return max(rc.route.toldUntil-now, 0)
-	}
-	return 0
-}
-
 // stir notes that a route has something to look after each turn.
 func (s *Sender) stir(r *route) {
 	if r.stirs {
--- /dev/null
+++ b/rules/waits.go
@@ -0,0 +1,15 @@
+package rules
+
+// waitTold keeps a wait that a route has told. A shorter one never takes the place of a longer one.
+func (s *Sender) waitTold(r *route, wait Millis) {
+	r.waitUntil = max(r.waitUntil, s.now+wait)
+	r.toldUntil = max(r.toldUntil, s.now+wait)
+}
+
+// WaitLeft is how much is left at a time of the wait that a receiver's destination, or its route, has told; 0: none.
+func (s *Sender) WaitLeft(receiver ReceiverID, now Millis) Millis {
+	if rc := s.receivers[receiver]; rc != nil {
+		return max(rc.route.toldUntil-now, 0)
+	}
+	return 0
+}
