--- a/cmd/chuteweir/waits_test.go
+++ b/cmd/chuteweir/waits_test.go
@@ -115,3 +115,10 @@
 		})
 	}
 }
+func TestWaitOfAnswerThatCrossesGivingUpIsHeeded(t *testing.T) {
+	heedsWait(t, func(w *waitWatch, a *standin.Asked) standin.Reply {
+		<-a.Gone
+		w.tells(2 * time.Second)
+		return standin.Reply{Status: 429, Fields: []string{"Retry-After: 2"}}
+	}, `quoted = "3s"`, `quoted = "300ms"`)
+}
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -49,6 +49,7 @@
 	call     *Call // nil: idle, or reading what is left of an answer
 	rest     bool  // the answer's head was enough, its body is still to come
 	gone     bool  // its receiver is listed no more
+	givenUp  bool  // its call was given up: nothing more is sent, and only a wait is still heard
 	since    time.Time
 	// waitUntil is the end of the wait that the answer being read has told; zero: none.
 	waitUntil time.Time
@@ -138,6 +139,15 @@
 // closeOldest makes room for a connection.
 func (p *Pool) closeOldest() bool {
 	var oldest *line
+	for _, l := range p.lines {
+		if l.givenUp && (oldest == nil || l.since.Before(oldest.since)) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest, "room for another connection")
+		return true
+	}
 	for _, idle := range p.idle {
 		if len(idle) > 0 && (oldest == nil || idle[0].since.Before(oldest.since)) {
 			oldest = idle[0]
@@ -251,6 +261,10 @@
 		p.end(c, rules.NotConnected)
 		return
 	}
+	if l.givenUp {
+		p.hearLate(l, b)
+		return
+	}
 	if l.call == nil && !l.rest {
 		p.Stale++
 		p.drop(l, "said something unasked")
@@ -281,6 +295,15 @@
 	p.waits = append(p.waits, rules.WaitTold{Receiver: l.receiver, Wait: told})
 }
 
+// hearLate hears the answer to a call that was given up: it may have crossed that, and tell a wait.
+func (p *Pool) hearLate(l *line, b []byte) {
+	_, done, err := l.parser.Feed(b)
+	p.hearWait(l)
+	if done || err != nil || !l.waitUntil.IsZero() {
+		p.drop(l, "answer to a call given up")
+	}
+}
+
 // waitLeft is what is left of the wait that an answer tells.
 func (p *Pool) waitLeft(l *line, m *http1.Message) rules.Millis {
 	until := l.waitUntil
@@ -443,11 +466,23 @@
 	case !c.written:
 		result = rules.NotConnected
 	}
-	p.drop(c.line, "call "+result.String())
-	c.line.call = nil
+	p.stopSending(c.line, "call "+result.String())
 	p.end(c, result)
 }
 
+// stopSending ends the sending side of a connection whose call is given up, which tells the receiver. What the receiver
+// has answered by then is heard for a short while, for the sake of a wait.
+func (p *Pool) stopSending(l *line, why string) {
+	heard := !l.waitUntil.IsZero() || l.parser.Status() == 200
+	if l.call.written && l.conn.Written() && !heard {
+		l.call, l.givenUp, l.since = nil, true, p.now
+		l.conn.CloseWrite()
+		return
+	}
+	p.drop(l, why)
+	l.call = nil
+}
+
 // LetGo closes the idle connections to a receiver.
 func (p *Pool) LetGo(receiver rules.ReceiverID) {
 	for _, l := range append([]*line(nil), p.idle[receiver]...) {
@@ -525,7 +560,7 @@
 // answer's body does not end.
 func (p *Pool) Sweep() {
 	for _, l := range p.lines {
-		if l.rest && p.now.Sub(l.since) > p.limits.RestTime {
+		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime {
 			p.drop(l, "answer does not end")
 		}
 	}
