--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -26,11 +26,13 @@
 type Call struct {
 	Notice   rules.NoticeID
 	Receiver rules.ReceiverID
-	Address  string
-	Zone     rules.ZoneID
-	ID, Mark string // of the notice, as its client gave them
-	Body     *buffers.Chain
-	TimeOut  time.Duration
+	// Destination is what the receiver belongs to: a wait that one of its calls is told binds all of them.
+	Destination rules.DestinationID
+	Address     string
+	Zone        rules.ZoneID
+	ID, Mark    string // of the notice, as its client gave them
+	Body        *buffers.Chain
+	TimeOut     time.Duration
 
 	Begun   time.Time // set by Send
 	due     time.Time // its time-out is over
@@ -66,7 +68,8 @@
 	tracing bool // each connection's way is logged
 
 	out   map[rules.NoticeID]*Call
-	late  byDue // those out, the first to time out in front
+	near  map[rules.DestinationID][]*Call // those out, by destination
+	late  byDue                           // those out, the first to time out in front
 	lines map[*sockets.Conn]*line
 	idle  map[rules.ReceiverID][]*line // the one used last at the end
 	ended []rules.TripEnded
@@ -74,6 +77,8 @@
 	waits []rules.WaitTold
 	now   time.Time
 	bytes []byte
+	// lagged says that the process may have stood still since connections were last heard: answers may wait unread.
+	lagged bool
 
 	Spoilt int // answers that could not be used
 	Beyond int // good answers with more bytes behind them
@@ -85,12 +90,18 @@
 func New(l limits.Limits, pool *buffers.Pool, report []string, log *slog.Logger, before func(*Call) error) *Pool {
 	return &Pool{limits: l, buffers: pool, report: report, before: before, log: log,
 		tracing: log.Enabled(context.Background(), slog.LevelDebug), out: map[rules.NoticeID]*Call{},
-		lines: map[*sockets.Conn]*line{}, idle: map[rules.ReceiverID][]*line{}}
+		near: map[rules.DestinationID][]*Call{}, lines: map[*sockets.Conn]*line{}, idle: map[rules.ReceiverID][]*line{}}
 }
 
 // Use says on which sockets calls go.
 func (p *Pool) Use(net *sockets.Net) { p.net = net }
 
+// Begin sets the time at which a turn begins.
+func (p *Pool) Begin(now time.Time) {
+	p.lagged = now.Sub(p.now) > p.limits.Lag
+	p.now = now
+}
+
 // At sets the time for what comes next.
 func (p *Pool) At(now time.Time) { p.now = now }
 
@@ -109,6 +120,11 @@
 	c.Begun, c.due = p.now, p.now.Add(c.TimeOut)
 	p.out[c.Notice] = c
 	heap.Push(&p.late, c)
+	p.near[c.Destination] = append(p.near[c.Destination], c)
+	if p.unheard(c) {
+		p.end(c, rules.Recalled)
+		return
+	}
 	for idle := p.idle[c.Receiver]; len(idle) > 0; idle = p.idle[c.Receiver] {
 		l := idle[len(idle)-1]
 		// What has come unasked would be taken for this call's answer.
@@ -198,6 +214,10 @@
 	if c == nil || c.written || !c.line.up {
 		return
 	}
+	if p.unheard(c) {
+		p.Recall(notice)
+		return
+	}
 	if !c.line.conn.Quiet() {
 		p.drop(c.line, "ended or said something before its first call")
 		p.end(c, rules.NotConnected)
@@ -206,6 +226,17 @@
 	p.write(c.line)
 }
 
+// unheard tells whether another call to the same destination has an answer that was not read yet, which may tell to wait.
+// It looks only where the process may have stood still; else what came was heard at the beginning of the turn.
+func (p *Pool) unheard(c *Call) bool {
+	if !p.lagged && time.Since(p.now) <= p.limits.Lag {
+		return false
+	}
+	return slices.ContainsFunc(p.near[c.Destination], func(other *Call) bool {
+		return other != c && other.written && !other.line.conn.Quiet()
+	})
+}
+
 // Recall takes a call back whose connection has come up, and keeps the connection.
 func (p *Pool) Recall(notice rules.NoticeID) {
 	c := p.out[notice]
@@ -447,6 +478,10 @@
 	}
 	delete(p.out, c.Notice)
 	heap.Remove(&p.late, c.place)
+	near := slices.DeleteFunc(p.near[c.Destination], func(other *Call) bool { return other == c })
+	if p.near[c.Destination] = near; len(near) == 0 {
+		delete(p.near, c.Destination)
+	}
 	e.Notice, e.Receiver = c.Notice, c.Receiver
 	e.Spent = rules.Millis(float64(p.now.Sub(c.Begun)) / float64(time.Millisecond))
 	e.Over = e.Over || e.Result == rules.Handled
--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// A process that stood still keeps a call back while an answer of the same destination, which may tell to wait, is unread.
+func TestUnreadAnswerKeepsCallsBackAfterStandingStill(t *testing.T) {
+	s := begin(t)
+	now := time.Now()
+	s.pool.Begin(now)
+	s.pool.Send(&Call{Notice: 1, Address: s.address, ID: "1", TimeOut: time.Minute})
+	for !s.pool.out[1].written {
+		s.turn()
+	}
+	s.answers <- "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 2\r\n" + short
+	time.Sleep(50 * time.Millisecond) // the answer has come, and nobody has gathered it
+	s.pool.Begin(time.Now())
+	s.pool.Send(&Call{Notice: 2, Address: s.address, ID: "2", TimeOut: time.Minute})
+	s.pool.Send(&Call{Notice: 3, Destination: 7, Address: s.address, ID: "3", TimeOut: time.Minute})
+	if ended := s.pool.Ended(); len(ended) != 1 || ended[0].Notice != 2 || ended[0].Result != rules.Recalled {
+		t.Errorf("ended: %+v", ended)
+	}
+}
+
 // What can't be sent for want of a connection, or of room in the ledger, is told as a shortage of ours; an idle
 // connection makes room first.
 func TestShortages(t *testing.T) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,6 +45,7 @@
 	ReceiverIdle time.Duration // how long a connection to a receiver may stand idle
 	Turn         time.Duration // between the beginnings of two turns of a busy loop
 	Sweep        time.Duration // between looks for what has taken too long
+	Lag          time.Duration // a turn so long after the last one, or so old, may not know what has come
 
 	Hold        time.Duration // how long discovery is asked to hold a watch
 	Again       time.Duration // between watches that are not held
@@ -96,6 +97,7 @@
 		ReceiverIdle: span(s.IdleKept * 9 / 10),
 		Turn:         span(s.Tick / 2),
 		Sweep:        100 * time.Millisecond,
+		Lag:          20 * time.Millisecond,
 
 		Hold:        2 * time.Second,
 		Again:       100 * time.Millisecond,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -37,12 +37,14 @@
 // held is a notice that the sender owes its end.
 type held struct {
 	id, mark string
-	body     *buffers.Chain
-	request  *intake.Request // until its client has its answer
-	out      bool            // a trip is out
-	recorded bool            // and the ledger has it
-	over     bool
-	trips    int // begun in this process
+
+	destination rules.DestinationID
+	body        *buffers.Chain
+	request     *intake.Request // until its client has its answer
+	out         bool            // a trip is out
+	recorded    bool            // and the ledger has it
+	over        bool
+	trips       int // begun in this process
 }
 
 // Loop is the running sender.
@@ -136,7 +138,7 @@
 	body := l.buffers.NewChain()
 	body.Add(n.Body)
 	l.heldBytes += body.Held()
-	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, body: body, trips: n.Trips}
+	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, destination: n.Destination, body: body, trips: n.Trips}
 	e := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
 		Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
 		Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
@@ -209,9 +211,8 @@
 func (l *Loop) turn() (next time.Time, done bool) {
 	l.counters.Turns++
 	l.now = time.Now()
-	l.intake.At(l.now)
-	l.calls.At(l.now)
-	l.directory.At(l.now)
+	l.calls.Begin(l.now)
+	l.at(l.now)
 	l.net.Gather()
 	l.intake.MakeRoom()
 	l.calls.Expire()
@@ -263,6 +264,14 @@
 	return next, done
 }
 
+// at sets the time for what comes next.
+func (l *Loop) at(now time.Time) {
+	l.now = now
+	l.intake.At(now)
+	l.calls.At(now)
+	l.directory.At(now)
+}
+
 // recallAll takes back the calls whose connections have come up when no trip may begin any more.
 func (l *Loop) recallAll() {
 	for _, e := range l.events {
@@ -424,7 +433,7 @@
 		l.last++
 		l.ids.add(r.ID, l.now)
 		l.heldBytes += r.Body.Held()
-		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, body: r.Body, request: r}
+		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
 			Key: r.Key, Destination: r.Destination, Left: r.Left, Inherited: r.Inherited, Room: l.room(r.Body)})
@@ -550,9 +559,9 @@
 			l.log.Debug(logs.Trip, "id", n.id, "notice", a.Notice, "receiver", a.Receiver,
 				"address", l.receivers.Addresses[a.Receiver], "time_out", span(a.TimeOut))
 		}
-		l.calls.Send(&calls.Call{Notice: a.Notice, Receiver: a.Receiver, Address: l.receivers.Addresses[a.Receiver],
-			Zone: l.receivers.Zones[a.Receiver],
-			ID:   n.id, Mark: n.mark, Body: n.body, TimeOut: span(a.TimeOut)})
+		l.calls.Send(&calls.Call{Notice: a.Notice, Receiver: a.Receiver, Destination: n.destination,
+			Address: l.receivers.Addresses[a.Receiver], Zone: l.receivers.Zones[a.Receiver],
+			ID: n.id, Mark: n.mark, Body: n.body, TimeOut: span(a.TimeOut)})
 	case rules.Write:
 		l.calls.Write(a.Notice)
 	case rules.Recall:
