--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -214,6 +214,8 @@
 	l.calls.Begin(l.now)
 	l.at(l.now)
 	l.net.Gather()
+	// Waits are counted from here: what was gathered may have come after the turn began.
+	l.at(time.Now())
 	l.intake.MakeRoom()
 	l.calls.Expire()
 	if !l.now.Before(l.sweepAt) {
