--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,10 +36,24 @@
 
 var phases = map[string]rules.Standing{"ready": rules.Ready, "draining": rules.Draining, "gone": rules.Gone}
 
-// Receivers knows every receiver that is listed, by the number that the decisions use. A number is never used again.
+// retiredMost is how many receivers that are gone are still known by their ids.
+const retiredMost = 1024
+
+// identity is what stays the same of a receiver: its number for the decisions, and what that stands for.
+type identity struct {
+	number      rules.ReceiverID
+	destination rules.DestinationID
+	kind        rules.KindID
+	zone        rules.ZoneID
+}
+
+// Receivers knows every receiver that is listed, by the number that the decisions use. A number is never used for another
+// receiver; one that is gone and comes back has its old one, so that what it told before still holds.
 type Receivers struct {
 	names        settings.Names
-	numbers      map[string]rules.ReceiverID
+	listed       map[string]identity
+	retired      map[string]identity
+	retiredOrder []string // oldest first; an id that came back may stand in it still
 	destinations map[rules.DestinationID]bool // listed at any time: what is for them is held while they have no receiver
 	gone         []rules.ReceiverID
 	last         rules.ReceiverID
@@ -49,7 +63,7 @@
 
 // NewReceivers knows none yet.
 func NewReceivers(names settings.Names) *Receivers {
-	return &Receivers{names: names, numbers: map[string]rules.ReceiverID{}, destinations: map[rules.DestinationID]bool{},
+	return &Receivers{names: names, listed: map[string]identity{}, retired: map[string]identity{}, destinations: map[rules.DestinationID]bool{},
 		Addresses: map[rules.ReceiverID]string{}, Zones: map[rules.ReceiverID]rules.ZoneID{}}
 }
 
@@ -66,46 +80,65 @@
 // Told puts a list into the decisions' words. What is gone from it is forgotten here at once.
 func (r *Receivers) Told(list List) (rules.ListTold, error) {
 	told := rules.ListTold{Whole: list.Complete}
-	listed := map[string]bool{}
+	here := map[string]bool{}
 	for _, m := range list.Members {
 		standing, known := phases[m.Phase]
 		if !known || m.ID == "" || m.Cell < 0 || m.Cell > 1<<30 || standing != rules.Gone && m.HostPort == "" {
 			return told, fmt.Errorf("entry %q: cell %d, phase %q, address %q", m.ID, m.Cell, m.Phase, m.HostPort)
 		}
-		listed[m.ID] = standing != rules.Gone
+		here[m.ID] = standing != rules.Gone
 	}
-	for id := range r.numbers {
-		if here, named := listed[id]; named && !here || !named && list.Complete {
+	for id := range r.listed {
+		if is, named := here[id]; named && !is || !named && list.Complete {
 			r.forget(id, &told)
 		}
 	}
 	slices.SortFunc(told.Entries, func(a, b rules.Entry) int { return cmp.Compare(a.Receiver, b.Receiver) })
 	for _, m := range list.Members {
-		if !listed[m.ID] || phases[m.Phase] == rules.Gone {
+		if !here[m.ID] || phases[m.Phase] == rules.Gone {
 			continue
 		}
-		number, known := r.numbers[m.ID]
-		if !known {
-			r.last++
-			number = r.last
-			r.numbers[m.ID] = number
-		}
-		e := rules.Entry{Receiver: number, Destination: rules.DestinationID(m.Cell), Standing: phases[m.Phase],
-			Kind: rules.KindID(settings.Index(r.names.Kinds, m.Flavor)), Zone: rules.ZoneID(settings.Index(r.names.Zones, m.Locality)),
-			ListedRate: m.Size}
-		r.Addresses[number], r.Zones[number], r.destinations[e.Destination] = m.HostPort, e.Zone, true
-		told.Entries = append(told.Entries, e)
+		known := r.identify(m, &told)
+		r.Addresses[known.number], r.Zones[known.number], r.destinations[known.destination] = m.HostPort, known.zone, true
+		told.Entries = append(told.Entries, rules.Entry{Receiver: known.number, Destination: known.destination,
+			Standing: phases[m.Phase], Kind: known.kind, Zone: known.zone, ListedRate: m.Size})
 	}
 	return told, nil
 }
 
+// identify is the identity of a listed receiver. One that now stands for something else is another receiver.
+func (r *Receivers) identify(m Member, told *rules.ListTold) identity {
+	is := identity{destination: rules.DestinationID(m.Cell), kind: rules.KindID(settings.Index(r.names.Kinds, m.Flavor)),
+		zone: rules.ZoneID(settings.Index(r.names.Zones, m.Locality))}
+	known, listed := r.listed[m.ID]
+	if !listed {
+		known = r.retired[m.ID]
+	}
+	if is.number = known.number; is != known {
+		if listed {
+			r.forget(m.ID, told)
+		}
+		r.last++
+		is.number = r.last
+	}
+	delete(r.retired, m.ID)
+	r.listed[m.ID] = is
+	return is
+}
+
+// forget takes a receiver that is gone off the list. Its identity is kept for a while.
 func (r *Receivers) forget(id string, told *rules.ListTold) {
-	number := r.numbers[id]
-	r.gone = append(r.gone, number)
-	told.Entries = append(told.Entries, rules.Entry{Receiver: number, Standing: rules.Gone})
-	delete(r.numbers, id)
-	delete(r.Addresses, number)
-	delete(r.Zones, number)
+	known := r.listed[id]
+	r.gone = append(r.gone, known.number)
+	told.Entries = append(told.Entries, rules.Entry{Receiver: known.number, Standing: rules.Gone})
+	delete(r.listed, id)
+	delete(r.Addresses, known.number)
+	delete(r.Zones, known.number)
+	r.retired[id] = known
+	if r.retiredOrder = append(r.retiredOrder, id); len(r.retiredOrder) > retiredMost {
+		delete(r.retired, r.retiredOrder[0])
+		r.retiredOrder = slices.Delete(r.retiredOrder, 0, 1)
+	}
 }
 
 // End is one notice's end, as the platform wants it.
--- a/rules/state.go
+++ b/rules/state.go
@@ -451,7 +451,7 @@
 	s.tidyAt = s.now + s.settings.Fall
 	s.routes = slices.DeleteFunc(s.routes, func(r *route) bool {
 		r.receivers = slices.DeleteFunc(r.receivers, func(rc *receiver) bool {
-			if rc.standing != Gone || slices.ContainsFunc(r.out, func(c *call) bool { return c.receiver == rc }) {
+			if rc.standing != Gone || s.now < rc.route.toldUntil || slices.ContainsFunc(r.out, func(c *call) bool { return c.receiver == rc }) {
 				return false
 			}
 			delete(s.receivers, rc.id)
