--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -318,7 +318,7 @@
 
 // hearWait tells a wait as soon as it has been read: the answer's end may come late or never.
 func (p *Pool) hearWait(l *line) {
-	told := wait(l.parser.Message())
+	told := retryAfter(l.parser.Message(), p.now)
 	if told <= 0 || !l.waitUntil.IsZero() || !refusal(l.parser.Status()) {
 		return
 	}
@@ -339,7 +339,7 @@
 func (p *Pool) waitLeft(l *line, m *http1.Message) rules.Millis {
 	until := l.waitUntil
 	if l.waitUntil = (time.Time{}); until.IsZero() {
-		return wait(m)
+		return retryAfter(m, p.now)
 	}
 	return max(rules.Millis(until.Sub(p.now).Seconds()*1000), 0)
 }
@@ -443,14 +443,6 @@
 	p.tell(c, e)
 }
 
-// wait is the time for which an answer asks not to be called.
-func wait(m *http1.Message) rules.Millis {
-	if s, err := strconv.ParseFloat(m.Get("retry-after"), 64); err == nil && s > 0 && s < 1e6 {
-		return rules.Millis(s * 1000)
-	}
-	return 0
-}
-
 // told reads a report, "x0=0.4,x1=25"; the decisions read its first two values.
 func (p *Pool) told(text string) (told bool, left, rate float64) {
 	if text == "" || len(p.report) < 2 {
