A client's connection is not closed over a request that was read

Cause: a resting client connection is closed when it has been idle, when the sender leaves and when clients crowd. The poller may have read a request from it that is still in its queue, or about to be; Gather then drops it as its owner has closed. The same holds for what is read between the last turn and the exit. The client sees its connection end and a request that was read without an answer.

Change: CloseQuiet ends a connection only if nothing was read from it untold and nothing lies in the kernel, and keeps the poller from reading it from then on; what comes later is reset unread. At the end Seal stops all reading, and what was read by then is refused with 503. The counter unheard tells what was read and dropped.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -53,7 +53,7 @@
 	names        settings.Names
 	listed       map[string]identity
 	retired      map[string]identity
-	retiredOrder []string // oldest first; an id that came back may stand in it still
+	retiredOrder []string                     // oldest first; an id that came back may stand in it still
 	destinations map[rules.DestinationID]bool // listed at any time: what is for them is held while they have no receiver
 	gone         []rules.ReceiverID
 	last         rules.ReceiverID
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -285,6 +285,16 @@
 	c.conn.Close()
 }
 
+// dropQuiet ends a connection unless something has come on it that was not read yet: that may be a request, which is owed
+// its answer once it has been read.
+func (in *Intake) dropQuiet(c *client) bool {
+	quiet := c.conn.CloseQuiet()
+	if quiet {
+		in.forget(c)
+	}
+	return quiet
+}
+
 func (in *Intake) forget(c *client) {
 	c.parser.Free()
 	delete(in.clients, c.conn)
@@ -307,10 +317,9 @@
 				in.write(c, 408, nil, "", true)
 			}
 		case idle > in.limits.ClientIdle || in.Leaving && c.served:
-			if !c.served {
+			if in.dropQuiet(c) && !c.served {
 				in.Refused.Silent++
 			}
-			in.drop(c)
 		}
 	}
 }
@@ -337,11 +346,10 @@
 	}
 	slices.SortFunc(quiet, func(a, b *client) int { return a.since.Compare(b.since) })
 	for _, c := range quiet {
-		if mine := c.parser.Held(); over > 0 || held > 0 && mine > 0 {
+		if mine := c.parser.Held(); (over > 0 || held > 0 && mine > 0) && in.dropQuiet(c) {
 			over--
 			held -= mine
 			in.Refused.Crowded++
-			in.drop(c)
 		}
 	}
 }
--- a/internal/loop/counters.go
+++ b/internal/loop/counters.go
@@ -19,6 +19,7 @@
 	NoHold, NoBytes, NoDisk                            int // refused, parts of NoRoom: the hold limit, bodies, the ledger
 	Short, ForRoom                                     int // calls not sent for a shortage of ours; notices dismissed to make room
 	Spoilt, Beyond, Stale                              int // answers and connections that calls could not use
+	Unheard                                            int // buffers read from connections that were closed meanwhile
 	Recalled                                           int // calls taken back as their connections came up
 	InWait                                             int // calls written within a told wait
 	Repeated, NoRoom                                   int // refused: an id taken on before, out of room
@@ -42,6 +43,7 @@
 		slog.Int("further", c.Further), slog.Int("out", c.Out), slog.Int("held", c.Held),
 		slog.Int("short", c.Short), slog.Int("dismissed_for_room", c.ForRoom),
 		slog.Int("written_in_wait", c.InWait), slog.Int("recalled", c.Recalled),
+		slog.Int("unheard", c.Unheard),
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -189,6 +189,11 @@
 		}
 		timer.Reset(time.Until(next))
 	}
+	// A request that the poller has read meanwhile is refused; one that it has not read is its client's again.
+	l.net.Seal()
+	for _, r := range l.intake.Take() {
+		l.refuse(r, 503)
+	}
 	l.log.Info(logs.CountersLine, "sender", l.counted(), "held", len(l.notices), "owed", l.directory.Owed())
 	l.net.Stop()
 	l.ledger.Close()
@@ -613,7 +618,7 @@
 	c.NoRoom = c.NoHold + c.NoBytes + c.NoDisk
 	c.Out, c.Held = l.calls.Out(), len(l.notices)
 	c.Refused = c.Unreadable + c.Unknown + c.Malformed + c.Late + c.Leaving + c.Repeated + c.NoRoom
-	c.BrokenAnswers = l.directory.Broken
+	c.BrokenAnswers, c.Unheard = l.directory.Broken, l.net.Unheard()
 	c.Spoilt, c.Beyond, c.Stale = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale
 	return c
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -35,6 +35,9 @@
 	wanted int64        // bytes handed to Write
 	left   atomic.Int64 // bytes that reached the kernel
 	untold atomic.Int32 // buffers that wait to be gathered
+
+	reading atomic.Bool // the poller may be between reading bytes and queueing them
+	sealed  atomic.Bool // the poller reads nothing more
 }
 
 type event struct {
@@ -59,6 +62,10 @@
 	spare  []event
 	ready  chan struct{}
 	ended  bool
+
+	sealed  atomic.Bool  // nothing more is read on any connection
+	reading atomic.Int32 // connections that the poller may be reading
+	unheard int          // the gathering goroutine's: see Unheard
 }
 
 // Start listens on an address; clients' connections belong to accepted.
@@ -96,6 +103,14 @@
 			n.put(event{conn: c, data: buffer})
 		}
 	})
+	nothing := []byte{}
+	n.engine.OnReadBufferAlloc(func(nb *nbio.Conn) *[]byte {
+		if n.beginRead(n.of(nb)) {
+			return n.engine.PollerBufferPtr(nb)
+		}
+		return &nothing // and so nothing is read
+	})
+	n.engine.OnReadBufferFree(func(nb *nbio.Conn, _ *[]byte) { n.endRead(n.of(nb)) })
 	n.engine.OnClose(func(nb *nbio.Conn, err error) {
 		c := n.of(nb)
 		if c.owner == accepted {
@@ -124,6 +139,39 @@
 	return nb.Session().(*Conn)
 }
 
+// beginRead tells whether the poller may read a connection. Whoever seals one sets sealed before looking at reading, and the
+// poller sets reading before looking at sealed: at least one of them sees the other.
+func (n *Net) beginRead(c *Conn) bool {
+	n.reading.Add(1)
+	c.reading.Store(true)
+	return !c.sealed.Load() && !n.sealed.Load()
+}
+
+func (n *Net) endRead(c *Conn) {
+	c.reading.Store(false)
+	n.reading.Add(-1)
+}
+
+// Seal ends all reading, once what was read is told to the owners. What comes from then on stays in the kernel, which
+// resets the connections at their end, so that the other side knows that it was not read.
+func (n *Net) Seal() {
+	n.sealed.Store(true)
+	for {
+		reading := n.reading.Load() > 0
+		n.Gather()
+		if !reading {
+			return
+		}
+		time.Sleep(sealStep)
+	}
+}
+
+// sealStep is how long Seal waits for the poller before it looks again.
+const sealStep = 100 * time.Microsecond
+
+// Unheard is the number of buffers that were read and never told, since their owner had closed the connection.
+func (n *Net) Unheard() int { return n.unheard }
+
 // capped lets connections wait in the kernel while there are too many: their owner makes room.
 type capped struct {
 	net.Listener
@@ -173,6 +221,9 @@
 		case e.opened && c.closed:
 			c.nb.Close() // its owner gave up while it came up
 		case c.closed:
+			if e.data != nil {
+				n.unheard++
+			}
 		case e.opened:
 			c.opened = true
 			c.owner.Opened(c)
@@ -238,10 +289,34 @@
 		return false
 	}
 	quiet := false
-	c.descriptor(func(fd int) {
+	c.descriptor(func(fd int) { quiet = nothingUnread(fd) })
+	return quiet
+}
+
+func nothingUnread(fd int) bool {
+	for {
 		_, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+		if err != syscall.EINTR {
+			return err == syscall.EAGAIN
+		}
+	}
+}
+
+// CloseQuiet ends a connection unless bytes have been read from it, or lie in the kernel, that its owner was not told:
+// then it stays open, and its owner hears of them. Bytes that come later are never read.
+func (c *Conn) CloseQuiet() bool {
+	if c.closed {
+		return true
+	}
+	quiet := false
+	c.descriptor(func(fd int) {
+		c.sealed.Store(true)
+		quiet = !c.reading.Load() && c.untold.Load() == 0 && nothingUnread(fd)
+		c.sealed.Store(quiet)
 	})
+	if quiet {
+		c.Close()
+	}
 	return quiet
 }
 
