--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -33,6 +33,7 @@
 	stage   *Stage
 	names   []string // senders' addresses
 	alive   []atomic.Int64
+	leaving []atomic.Bool
 	next    atomic.Int64
 	numbers atomic.Int64
 	pools   []*pool
@@ -72,7 +73,8 @@
 
 // NewClients makes clients of senders at addresses.
 func NewClients(s *Stage, addresses []string) *Clients {
-	c := &Clients{stage: s, names: addresses, alive: make([]atomic.Int64, len(addresses)), draw: scenario.Chance(s.World.Seed, 1<<40),
+	c := &Clients{stage: s, names: addresses, alive: make([]atomic.Int64, len(addresses)),
+		leaving: make([]atomic.Bool, len(addresses)), draw: scenario.Chance(s.World.Seed, 1<<40),
 		pending: map[string]*effect{}}
 	for range addresses {
 		c.pools = append(c.pools, &pool{})
@@ -123,20 +125,28 @@
 	return !c.stage.Ended()
 }
 
-// choose deals notices out over the senders, but for those known to be dead.
+// choose deals notices out over the senders, but for those known to be dead. One that leaves is used as long as a connection
+// to it is open.
 func (c *Clients) choose() int {
 	n := len(c.names)
 	first := int(c.next.Add(1))
 	now := int64(c.stage.Clock.Now())
 	for i := range n {
 		s := (first + i) % n
-		if now >= c.alive[s].Load() {
+		if now >= c.alive[s].Load() || c.leaving[s].Load() && c.pools[s].has() {
 			return s
 		}
 	}
 	return first % n
 }
 
+// Leaving says that a sender was told to leave: the front notices as it does a dead one, and connections that are open
+// are used on.
+func (c *Clients) Leaving(sender int) {
+	c.leaving[sender].Store(true)
+	c.Dead(sender)
+}
+
 // Dead says that a sender is dead from now on, which clients notice after a while; Back that it serves again.
 func (c *Clients) Dead(sender int) {
 	notice := c.stage.World.FrontNotice
@@ -149,7 +159,10 @@
 }
 
 // Back says that a sender serves again.
-func (c *Clients) Back(sender int) { c.alive[sender].Store(0) }
+func (c *Clients) Back(sender int) {
+	c.leaving[sender].Store(false)
+	c.alive[sender].Store(0)
+}
 
 // hand hands an effect in.
 func (c *Clients) hand(e *effect, intended rules.Millis, again bool, retry string) {
@@ -225,6 +238,12 @@
 	}
 }
 
+func (p *pool) has() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 func (p *pool) take() *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -287,11 +287,14 @@
 	}
 	switch f.Kind {
 	case scenario.Kill, scenario.Stop:
-		t.clients.Dead(s.number)
 		if f.Kind == scenario.Kill {
+			t.clients.Dead(s.number)
 			s.kill()
-		} else if err := s.leave(); err != nil {
-			t.fault(err)
+		} else {
+			t.clients.Leaving(s.number)
+			if err := s.leave(); err != nil {
+				t.fault(err)
+			}
 		}
 		if !t.stage.At(f.Until()) {
 			return
