--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -19,7 +19,8 @@
 	soakSeeds        = 6  // without that variable
 	soakCrowdEach    = 3  // every so many seeds a crowd of clients comes
 	soakCrowd        = 60 // clients of such a crowd at once
-	soakLateSpans    = 3  // spans in which connections come up late
+	soakLateGroup    = "limited"
+	soakLateSpans    = 3 // spans in which connections come up late
 	soakLateFor      = rules.Millis(600)
 	soakConnectTime  = rules.Millis(2500) // the kernel asks again after 1 s: connections begun in a late span come up then
 	soakSignalsApart = rules.Millis(700)
@@ -36,9 +37,13 @@
 	scenario.Mix(s)
 	s.Names.ConnectTime = soakConnectTime
 	draw := scenario.Chance(seed, 1<<45)
+	// Slow calls need connections of their own, and a lowered limit tells waits while these come up.
+	s.Faults = append(s.Faults,
+		scenario.Fault{Kind: scenario.Slow, Group: soakLateGroup, For: s.Length, Part: 1, Share: 0.7, Size: 25, Each: 1000},
+		scenario.Fault{Kind: scenario.LowLimit, Group: soakLateGroup, For: s.Length, Part: 1, Share: 1, Size: 0.3, Each: 1000})
 	for range soakLateSpans {
-		s.Faults = append(s.Faults, scenario.Fault{Kind: scenario.NeverUp, At: s.Length * rules.Millis(0.05+0.7*draw.Float64()),
-			For: soakLateFor, Part: 0.6, Share: 1, Size: 1, Each: 1000})
+		s.Faults = append(s.Faults, scenario.Fault{Kind: scenario.NeverUp, Group: soakLateGroup,
+			At: s.Length * rules.Millis(0.02+0.7*draw.Float64()), For: soakLateFor, Part: 1, Share: 1, Size: 1, Each: 1000})
 	}
 	if seed%soakCrowdEach == 0 {
 		s.Faults = append(s.Faults, scenario.Fault{Kind: scenario.Hostile, At: s.Length / 10, For: s.Length / 2, Part: 1, Share: 1,
