A step of the wall clock no longer changes the time of notices held over a restart

After a restart across a step forward everything held was given up early; after one back its end was owed for an hour.

Cause: the ledger keeps times by the wall clock alone.

Change: each notice has the moment of its taking by the wall clock and by the machine's monotonic clock. At start the two are held against each other; if they have moved apart by a second or more under the same boot, the notice's times are set right. Trips are written in the time of their notice's taking, so that marks are remembered exactly.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,26 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+func TestStepOfTheWallClockIsTold(t *testing.T) {
+	at := Moment{Wall: 5_000_000, Monotonic: 10_000, Boot: "a"}
+	for _, c := range []struct {
+		later Moment
+		want  time.Duration
+	}{
+		{Moment{Wall: 5_002_000, Monotonic: 12_000, Boot: "a"}, 0},
+		{Moment{Wall: 5_002_100, Monotonic: 12_000, Boot: "a"}, 0},
+		{Moment{Wall: 8_602_000, Monotonic: 12_000, Boot: "a"}, time.Hour},
+		{Moment{Wall: 1_402_000, Monotonic: 12_000, Boot: "a"}, -time.Hour},
+		{Moment{Wall: 8_602_000, Monotonic: 12_000, Boot: "b"}, 0},
+		{Moment{Wall: 8_602_000, Monotonic: 9_000, Boot: "a"}, 0},
+		{Moment{Wall: 8_602_000}, 0},
+	} {
+		if got := at.Stepped(c.later); got != c.want {
+			t.Errorf("to %+v: %v, want %v", c.later, got, c.want)
+		}
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"chuteweir.example/chuteweir/internal/clock"
 	"chuteweir.example/chuteweir/rules"
 )
 
@@ -34,9 +35,10 @@
 	Portfolio   string `json:",omitempty"`
 	Key         rules.KeyID
 	Destination rules.DestinationID
-	Until       time.Time // by the wall clock
-	Inherited   bool      `json:",omitempty"`
-	Body        []byte    `json:"-"`
+	Until       time.Time    // by the wall clock
+	TakenAt     clock.Moment // tells steps of the wall clock since
+	Inherited   bool         `json:",omitempty"`
+	Body        []byte       `json:"-"`
 
 	Trips   int     `json:"-"` // begun
 	Ran     []Trip  `json:"-"` // those that may have run
@@ -44,6 +46,16 @@
 	RetryMS float64 `json:"-"`
 }
 
+// Adjust sets the notice's times by the wall clock right, as of a later moment, if that was stepped meanwhile.
+func (n *Notice) Adjust(now clock.Moment) (stepped time.Duration) {
+	stepped = n.TakenAt.Stepped(now)
+	n.Until = n.Until.Add(stepped)
+	for i := range n.Ran {
+		n.Ran[i].At = n.Ran[i].At.Add(stepped)
+	}
+	return stepped
+}
+
 // The kinds of record. Each is a length, a checksum of the rest, the kind, the notice's number and what the kind needs.
 const (
 	kindTaken  = 'n' // length of the JSON, JSON, body
@@ -191,6 +203,9 @@
 	return nil
 }
 
+// Folder is where the ledger is kept.
+func (l *Ledger) Folder() string { return l.folder }
+
 func (l *Ledger) path() string { return filepath.Join(l.folder, fileName) }
 
 // Taken writes a notice down, if there is room for it and for what will be written of it.
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -19,6 +19,7 @@
 	PlatformBroken = "platform_broken"
 	LedgerTorn     = "ledger_torn"
 	LedgerFailed   = "ledger_failed"
+	ClockStepped   = "clock_stepped"
 	LinesDropped   = "lines_dropped"
 	LeftOut        = "left_out"
 
@@ -57,6 +58,7 @@
 	{SlotsCapped, "warn", []string{"slots", "connections", "capped"}, false, "more slots are configured than connections to receivers are granted (a quarter of the descriptors): so many are used"},
 	{PlatformBroken, "warn", []string{"why"}, true, "an answer of the platform could not be used; the last list holds, ends are told again"},
 	{LedgerTorn, "warn", []string{"bytes"}, false, "the ledger's end could not be read: the process before was killed within a write"},
+	{ClockStepped, "warn", []string{"notice", "stepped"}, true, "the wall clock was set by so much since a notice was taken, before this start: its times were set right"},
 	{LedgerFailed, "error", []string{"why"}, true, "the ledger could not be written"},
 	{WrittenInWait, "warn", []string{"id", "notice", "receiver", "begun_ago", "left"}, true, "a call was written while its destination had told to wait: `left` is what was left of that, `begun_ago` is since the call was decided on"},
 	{LinesDropped, "warn", []string{"count"}, false, "standard error was not read for a while; so many lines are lost"},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -14,6 +14,7 @@
 
 	"chuteweir.example/chuteweir/internal/buffers"
 	"chuteweir.example/chuteweir/internal/calls"
+	"chuteweir.example/chuteweir/internal/clock"
 	"chuteweir.example/chuteweir/internal/directory"
 	"chuteweir.example/chuteweir/internal/intake"
 	"chuteweir.example/chuteweir/internal/ledger"
@@ -39,6 +40,7 @@
 	id, mark string
 
 	destination rules.DestinationID
+	takenAt     clock.Moment
 	body        *buffers.Chain
 	request     *intake.Request // until its client has its answer
 	out         bool            // a trip is out
@@ -60,6 +62,7 @@
 	ledger    *ledger.Ledger
 	sender    *rules.Sender
 
+	clock        clock.Clock
 	started, now time.Time
 	notices      map[rules.NoticeID]*held
 	last         rules.NoticeID
@@ -78,7 +81,7 @@
 func New(c Config, log *slog.Logger) (*Loop, error) {
 	l := &Loop{config: c, log: log, started: time.Now(), notices: map[rules.NoticeID]*held{},
 		buffers: buffers.NewPool(c.Limits.Buffer), receivers: directory.NewReceivers(c.Names)}
-	l.now = l.started
+	l.now, l.clock = l.started, clock.New()
 	l.pace = pace{most: c.Limits.Turn, cores: c.Limits.Cores}
 	l.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	for _, g := range c.Settings.Grades {
@@ -112,6 +115,9 @@
 		log.Warn(logs.LedgerTorn, "bytes", l.ledger.Torn)
 	}
 	for _, n := range owed {
+		if stepped := n.Adjust(l.clock.Now(l.now)); stepped != 0 {
+			log.Warn(logs.ClockStepped, "notice", n.Number, "stepped", stepped)
+		}
 		l.restore(n)
 	}
 	if l.net, err = sockets.Start(c.Listen, c.Limits, l.buffers, l.intake); err != nil {
@@ -138,7 +144,7 @@
 	body := l.buffers.NewChain()
 	body.Add(n.Body)
 	l.heldBytes += body.Held()
-	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, destination: n.Destination, body: body, trips: n.Trips}
+	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, destination: n.Destination, takenAt: n.TakenAt, body: body, trips: n.Trips}
 	e := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
 		Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
 		Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
@@ -396,9 +402,12 @@
 			"left", span(left))
 	}
 	zone := settings.Name(l.config.Names.Zones, int(c.Zone))
-	err := l.ledger.Trip(c.Notice, ledger.Trip{At: l.now, Zone: zone})
+	n := l.notices[c.Notice]
+	// By the wall clock as it was when the notice was taken, like its other times.
+	at := l.now.Add(-n.takenAt.Stepped(l.clock.Now(l.now)))
+	err := l.ledger.Trip(c.Notice, ledger.Trip{At: at, Zone: zone})
 	l.keep(err)
-	l.notices[c.Notice].recorded = err == nil
+	n.recorded = err == nil
 	return err
 }
 
@@ -440,7 +449,7 @@
 		l.last++
 		l.ids.add(r.ID, l.now)
 		l.heldBytes += r.Body.Held()
-		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, body: r.Body, request: r}
+		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(l.now), body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
 			Key: r.Key, Destination: r.Destination, Left: r.Left, Inherited: r.Inherited, Room: l.room(r.Body)})
@@ -497,7 +506,7 @@
 		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
 			Grade:     settings.Name(l.config.Names.Grades, int(r.Grade)),
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
-			Until: l.now.Add(span(r.Left)), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
+			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
 			l.withdraw(number, r)
 			continue
