Package calls in four files, with plain names

Answers, connections and deadlines have files of their own; line, near, late, tell, broke, ours and told are now connection, byDestination, deadlines, finish, connectionFailed, localShortage and loadReport. Moves and renames only; the package's tests pass under -race.

--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -154,12 +154,12 @@
 		"101 Switching\r\n\r\n",
 	} {
 		s.call("HTTP/1.1 " + answer)
-		for i := 0; i < 300 && len(s.pool.lines) > len(s.pool.idle[0]); i++ {
+		for i := 0; i < 300 && len(s.pool.connections) > len(s.pool.idle[0]); i++ {
 			s.turn() // a body that does not come is waited for
 		}
 		s.pool.LetGo(0)
-		if len(s.pool.lines) > 0 {
-			fmt.Fprintf(&s.trace, "  %d connections left\n", len(s.pool.lines))
+		if len(s.pool.connections) > 0 {
+			fmt.Fprintf(&s.trace, "  %d connections left\n", len(s.pool.connections))
 		}
 	}
 	s.check(`
@@ -251,11 +251,11 @@
 		t.Errorf("ledger refuses: %+v", ended)
 	}
 	for _, why := range []error{syscall.EMFILE, syscall.EADDRNOTAVAIL} {
-		if !ours(&net.OpError{Err: os.NewSyscallError("socket", why)}) {
+		if !localShortage(&net.OpError{Err: os.NewSyscallError("socket", why)}) {
 			t.Errorf("%v is not told as ours", why)
 		}
 	}
-	if ours(&net.OpError{Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}) {
+	if localShortage(&net.OpError{Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}) {
 		t.Error("a refused connection is told as ours")
 	}
 }
--- /dev/null
+++ b/internal/calls/connections.go
@@ -0,0 +1,183 @@
+package calls
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+
+	"chuteweir.example/chuteweir/internal/logs"
+	"chuteweir.example/chuteweir/internal/sockets"
+	"chuteweir.example/chuteweir/rules"
+)
+
+// The connections to receivers, from their coming up to their end.
+
+// closeOldest makes room for a connection.
+func (p *Pool) closeOldest() bool {
+	var oldest *connection
+	for _, l := range p.connections {
+		if l.givenUp && (oldest == nil || l.since.Before(oldest.since)) {
+			oldest = l
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest, "room for another connection")
+		return true
+	}
+	for _, idle := range p.idle {
+		if len(idle) > 0 && (oldest == nil || idle[0].since.Before(oldest.since)) {
+			oldest = idle[0]
+		}
+	}
+	if oldest != nil {
+		p.drop(oldest, "room for another connection")
+	}
+	return oldest != nil
+}
+
+// Opened asks whether the call that waited for its connection may still leave.
+func (p *Pool) Opened(conn *sockets.Conn) {
+	l := p.connections[conn]
+	if l == nil {
+		return
+	}
+	// A process that stood still finds connections that came up long ago.
+	if c := l.call; c != nil && p.now.Sub(l.since) > p.limits.ConnectTime {
+		p.drop(l, "came up too late")
+		p.end(c, rules.NotConnected)
+		return
+	}
+	l.up = true
+	if p.tracing {
+		p.log.Debug(logs.Connected, "notice", l.notice(), "receiver", l.receiver, "took", p.now.Sub(l.since))
+	}
+	p.up = append(p.up, rules.ConnectionUp{Notice: l.call.Notice})
+}
+
+// Closed ends a connection from outside.
+func (p *Pool) Closed(conn *sockets.Conn, why error) {
+	l := p.connections[conn]
+	if l == nil {
+		return
+	}
+	if l.call != nil && l.parser.End() == nil {
+		p.answered(l, l.parser.Take(), true)
+		return
+	}
+	reason := "closed by the receiver"
+	if why != nil {
+		reason = why.Error()
+	}
+	if c := l.call; !l.up && c != nil && localShortage(why) {
+		p.drop(l, reason)
+		p.end(c, rules.Short)
+		return
+	}
+	p.connectionFailed(l, reason)
+}
+
+// localShortage tells a connection that did not come up for want of something of this machine's from one that the receiver, or
+// the way there, did not let up.
+func localShortage(why error) bool {
+	for _, short := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(why, short) {
+			return true
+		}
+	}
+	return false
+}
+
+// broke ends a call whose connection ended or went wrong. Of an answer that can't be read to its end only a first
+// line of 200 holds: whatever else it claims, the call may have run. A wait that it tells is kept all the same.
+func (p *Pool) connectionFailed(l *connection, why string) {
+	c, status, begun := l.call, l.parser.Status(), l.parser.Begun()
+	e := rules.TripEnded{Result: rules.Reset}
+	switch {
+	case status == 200:
+		e.Result = rules.Handled
+	case !begun && !(l.up && c != nil && c.written && l.conn.Written()):
+		e.Result = rules.NotConnected
+	case refusal(status):
+		e.Wait = p.waitLeft(l, l.parser.Message())
+	}
+	p.drop(l, why)
+	if c != nil {
+		if begun {
+			p.Spoilt++
+		}
+		p.finish(c, e)
+	}
+}
+
+// stopSending ends the sending side of a connection whose call is given up, which tells the receiver. What the receiver
+// has answered by then is heard for a short while, for the sake of a wait.
+func (p *Pool) stopSending(l *connection, why string) {
+	heard := !l.waitUntil.IsZero() || l.parser.Status() == 200
+	if l.call.written && l.conn.Written() && !heard {
+		l.call, l.givenUp, l.since = nil, true, p.now
+		l.conn.CloseWrite()
+		return
+	}
+	p.drop(l, why)
+	l.call = nil
+}
+
+// LetGo closes the idle connections to a receiver.
+func (p *Pool) LetGo(receiver rules.ReceiverID) {
+	for _, l := range append([]*connection(nil), p.idle[receiver]...) {
+		p.drop(l, "let go")
+	}
+}
+
+// Forget ends the connections to a receiver that is listed no more; a call that is out comes to its end first.
+func (p *Pool) Forget(receiver rules.ReceiverID) {
+	p.LetGo(receiver)
+	for _, l := range p.connections {
+		if l.receiver == receiver {
+			l.gone = true
+		}
+	}
+}
+
+// notice is the notice of the call that a connection carries, or 0.
+func (l *connection) notice() rules.NoticeID {
+	if l.call == nil {
+		return 0
+	}
+	return l.call.Notice
+}
+
+func (p *Pool) drop(l *connection, why string) {
+	if p.tracing {
+		p.log.Debug(logs.Disconnected, "notice", l.notice(), "receiver", l.receiver, "why", why, "connected", l.up)
+	}
+	l.conn.Close()
+	l.parser.Free()
+	delete(p.connections, l.conn)
+	p.removeIdle(l)
+}
+
+func (p *Pool) removeIdle(l *connection) {
+	idle := p.idle[l.receiver]
+	if i := slices.Index(idle, l); i >= 0 {
+		p.idle[l.receiver] = slices.Delete(idle, i, i+1)
+	}
+	if len(p.idle[l.receiver]) == 0 {
+		delete(p.idle, l.receiver)
+	}
+}
+
+// Sweep closes connections that have stood idle too long, before their receivers would, and those on which an
+// answer's body does not end.
+func (p *Pool) Sweep() {
+	for _, l := range p.connections {
+		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime {
+			p.drop(l, "answer does not end")
+		}
+	}
+	for receiver := range p.idle {
+		for len(p.idle[receiver]) > 0 && p.now.Sub(p.idle[receiver][0].since) > p.limits.ReceiverIdle {
+			p.drop(p.idle[receiver][0], "idle")
+		}
+	}
+}
