Reissuable notices go first only to routes that lose calls, not to those that refuse

Cause: reissuable notices go first wherever a route is sick, and a route counts as down after refusals alone.

Change: the first pass is kept for routes where calls fail, are overdue, slow or tried by the breaker (losesCalls).

--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -7,9 +7,11 @@
 
 // The breaker of a route, and the signs of an outage that come before it opens.
 
-func (s *Sender) sick(r *route) bool {
-	return r.state != closed || r.run > 0 || r.owed > 1 || r.down || r.slow()
-}
+func (s *Sender) sick(r *route) bool { return r.losesCalls() || r.down }
+
+// losesCalls tells whether a call to a route may be lost, as others failed, are overdue or take long. Where calls are only
+// refused none is lost.
+func (r *route) losesCalls() bool { return r.state != closed || r.run > 0 || r.owed > 1 || r.slow() }
 
 // doubtful tells whether a route is sick, or may be, as far as its slots go: with a call out it has answered
 // nothing yet, or nothing since its oldest call became overdue.
--- a/rules/serve.go
+++ b/rules/serve.go
@@ -77,12 +77,12 @@
 
 // offer sends a notice to the best receiver that the gate lets it go to. Equal ones rank by this sender's
 // lot: if all took the first of a list, its connections would run out. One where its grade failed comes last.
-// To a sick route, reissuable notices go first: what they find out costs nothing.
+// To a route that loses calls, reissuable notices go first: what they find out costs nothing.
 func (s *Sender) offer(n *notice, first bool) bool {
 	var best *receiver
 	var bestScore float64
 	for _, r := range n.destination.routes {
-		if first && s.sick(r) && n.grade.Repeat != Reissuable {
+		if first && r.losesCalls() && n.grade.Repeat != Reissuable {
 			continue
 		}
 		for _, rc := range r.receivers {
