Receivers of destination 0 have numbers of their own again

A receiver that is not known was compared with an empty identity; one of destination, kind and zone 0 equals that, and so got number 0, as did every other one of that destination. The list then said of one what it meant of another.

Change: whether an identity was found is a value of its own. Destinations count from 0 on the platform, and from 1 in the stand-ins, so that no test on sockets met it.

TestReceiversOfTheFirstDestinationHaveNumbersOfTheirOwn failed before (both Receiver:0).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -111,10 +111,11 @@
 	is := identity{destination: rules.DestinationID(m.Cell), kind: rules.KindID(settings.Index(r.names.Kinds, m.Flavor)),
 		zone: rules.ZoneID(settings.Index(r.names.Zones, m.Locality))}
 	known, listed := r.listed[m.ID]
+	found := listed
 	if !listed {
-		known = r.retired[m.ID]
+		known, found = r.retired[m.ID]
 	}
-	if is.number = known.number; is != known {
+	if is.number = known.number; !found || is != known {
 		if listed {
 			r.forget(m.ID, told)
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -30,6 +30,14 @@
 	}
 }
 
+func TestReceiversOfTheFirstDestinationHaveNumbersOfTheirOwn(t *testing.T) {
+	r := NewReceivers(settings.Names{})
+	entries := told(t, r, true, member("a", "ready", 0), member("b", "ready", 0)).Entries
+	if entries[0].Receiver == entries[1].Receiver {
+		t.Errorf("entries %+v", entries)
+	}
+}
+
 func TestReceiverOfAnotherDestinationUnderAnOldIDIsAnother(t *testing.T) {
 	r := NewReceivers(settings.Names{})
 	first := told(t, r, true, member("a", "ready", 1)).Entries[0].Receiver
