The auditor knows when a sender starts again, not only when it is found ready

Traced: the wait was told to a process that left meanwhile; the call came from the next one, 0.1 ms before the trial found it ready. The start is noted now, so the check holds for each process as before.

--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -82,7 +82,7 @@
 // Life is a change in a sender's life.
 type Life struct {
 	Sender int
-	What   string // killed, leaving, frozen, going on, ready
+	What   string // killed, leaving, starting, frozen, going on, ready
 	At     rules.Millis
 }
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -299,6 +299,7 @@
 		if !t.stage.At(f.Until()) {
 			return
 		}
+		s.life("starting") // what it was told before ends here, though it is found ready a little later
 		if err := s.launch(t.platform.List()); err != nil {
 			t.fault(err)
 			return
