--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -371,6 +371,16 @@
 	return l.gone
 }
 
+// ended tells whether the sender has ended the connection, or its sending side.
+func (l *line) ended() bool {
+	select {
+	case <-l.watch():
+		return true
+	default:
+		return false
+	}
+}
+
 // await waits until there is something to read.
 func (l *line) await(done <-chan struct{}) bool {
 	if l.next != nil {
@@ -543,11 +553,9 @@
 		return false
 	}
 	r.holdPause()
-	select {
-	case <-c.watch(): // the sender has given the call up meanwhile: nothing is answered to it any more
-		closed()
+	if r.all.Script == nil && c.ended() {
+		closed() // the sender has given the call up meanwhile: nothing is answered to it any more
 		return false
-	default:
 	}
 	if f.Raw == "" && !f.Reset {
 		f.Raw = compose(f.Reply)
