--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -9,8 +9,8 @@
 
 func (s *Sender) sick(r *route) bool { return r.losesCalls() || r.down }
 
-// losesCalls tells whether a call to a route may be lost, as others failed, are overdue or take long. Where calls are only
-// refused none is lost.
+// losesCalls tells whether a call to a route may be lost, as others failed, are overdue or take long. Where
+// calls are only refused none is lost.
 func (r *route) losesCalls() bool { return r.state != closed || r.run > 0 || r.owed > 1 || r.slow() }
 
 // doubtful tells whether a route is sick, or may be, as far as its slots go: with a call out it has answered
--- a/rules/connections.go
+++ b/rules/connections.go
@@ -1,6 +1,7 @@
 package rules
 
-// Which idle connections are worth keeping, and which calls may still leave when their connections have come up.
+// Which idle connections are worth keeping, and which calls may still leave when their connections have
+// come up.
 
 // keeps tells whether a connection is worth keeping: where this sender calls again soon. Some destinations
 // take few, and what many senders keep idle shuts out others: so if those of its kind refuse some, or
@@ -22,11 +23,11 @@
 	return broke >= 1 && broke/calls > breaking+farWorse*others
 }
 
-// A call for which no connection was free leaves when its connection has come up, up to the connect time-out after the
-// decision to send it. What the sender has heard meanwhile decides whether it still may leave.
+// A call for which no connection was free leaves when its connection has come up, up to the connect time-out
+// after the decision to send it. What the sender has heard meanwhile decides whether it still may leave.
 
-// connectionsUp lets calls leave whose connections have come up, or takes them back. It comes after all other events of
-// the turn, so that an answer that was read together with the connection's coming up is known.
+// connectionsUp lets calls leave whose connections have come up, or takes them back. It comes after all other
+// events of the turn, so that an answer that was read together with the connection's coming up is known.
 func (s *Sender) connectionsUp(events []Event) {
 	for _, e := range events {
 		up, is := e.(ConnectionUp)
