--- a/rules/waits.go
+++ b/rules/waits.go
@@ -6,8 +6,8 @@
 	r.toldUntil = max(r.toldUntil, s.now+wait)
 }
 
-// WaitLeft is how much is left at a time of the wait that a receiver's destination, or its route, has told; 0:
-// none.
+// WaitLeft is how much is left at a time of the wait that a receiver's destination, or its route, has told.
+// It is 0 where none is left.
 func (s *Sender) WaitLeft(receiver ReceiverID, now Millis) Millis {
 	if rc := s.receivers[receiver]; rc != nil {
 		return max(rc.route.toldUntil-now, 0)
