Restored notices keep the time that their clients gave them, however slow the start is

Cause: loop.New counted what a restored notice has left, and how long ago its first trip was, from the clock that it read at its own start. The decisions take both spans as of the first turn.

Change: the spans are counted in the turn that tells the decisions of the notices, from the time that these are given. A new line at debug level, restored, tells what each has left.

--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -23,12 +23,13 @@
 	LinesDropped   = "lines_dropped"
 	LeftOut        = "left_out"
 
-	Taken   = "taken"
-	Refused = "refused"
-	Trip    = "trip"
-	Outcome = "outcome"
-	Ended   = "ended"
-	Closed  = "closed"
+	Taken    = "taken"
+	Restored = "restored"
+	Refused  = "refused"
+	Trip     = "trip"
+	Outcome  = "outcome"
+	Ended    = "ended"
+	Closed   = "closed"
 
 	WrittenInWait = "written_in_wait"
 	Connecting    = "connecting"
@@ -64,6 +65,7 @@
 	{LinesDropped, "warn", []string{"count"}, false, "standard error was not read for a while; so many lines are lost"},
 	{LeftOut, "info", []string{"event", "count"}, false, "so many lines of an event were left out, as they came too often"},
 	{Taken, "debug", []string{"id", "notice", "grade", "portfolio", "key", "destination", "body", "left"}, false, "a notice was taken on"},
+	{Restored, "debug", []string{"id", "notice", "trips", "may_have_run", "left"}, false, "a notice that an earlier process owed goes back to the decisions, with the time that it has `left`"},
 	{Refused, "debug", []string{"id", "status"}, false, "a notice was turned away with this status"},
 	{Trip, "debug", []string{"id", "notice", "receiver", "address", "time_out"}, false, "a trip was begun"},
 	{Connecting, "debug", []string{"notice", "receiver", "address"}, false, "a connection to a receiver was begun for a call"},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -66,6 +66,7 @@
 	started, now time.Time
 	notices      map[rules.NoticeID]*held
 	last         rules.NoticeID
+	restored     []ledger.Notice // owed from before the start, not told to the decisions yet
 	heldBytes    int
 	ids          recent
 	timers       []time.Time // asked for by the decisions
@@ -115,9 +116,6 @@
 		log.Warn(logs.LedgerTorn, "bytes", l.ledger.Torn)
 	}
 	for _, n := range owed {
-		if stepped := n.Adjust(l.clock.Now(l.now)); stepped != 0 {
-			log.Warn(logs.ClockStepped, "notice", n.Number, "stepped", stepped)
-		}
 		l.restore(n)
 	}
 	if l.net, err = sockets.Start(c.Listen, c.Limits, l.buffers, l.intake); err != nil {
@@ -132,7 +130,7 @@
 	return l, nil
 }
 
-// restore gives a notice back to the decisions, or its end to the platform.
+// restore takes a notice back that an earlier process owed; its end goes to the platform if it has one.
 func (l *Loop) restore(n ledger.Notice) {
 	l.counters.Restored++
 	l.ids.add(n.ID, l.now)
@@ -143,17 +141,35 @@
 	}
 	body := l.buffers.NewChain()
 	body.Add(n.Body)
+	n.Body = nil
 	l.heldBytes += body.Held()
 	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, destination: n.Destination, takenAt: n.TakenAt, body: body, trips: n.Trips}
-	e := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
-		Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
-		Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
-		Trips: n.Trips, Ran: len(n.Ran), Room: l.room(body)}
-	if len(n.Ran) > 0 {
-		e.RanAgo = millis(l.now.Sub(n.Ran[0].At))
-		e.RanZone = rules.ZoneID(settings.Index(l.config.Names.Zones, n.Ran[0].Zone))
-	}
-	l.events = append(l.events, e)
+	l.restored = append(l.restored, n)
+}
+
+// tellRestored tells the decisions of the notices that an earlier process owed. The spans that it tells count from the time
+// of the turn, by which the decisions count them, too.
+func (l *Loop) tellRestored() {
+	now := l.clock.Now(l.now)
+	for _, n := range l.restored {
+		if stepped := n.Adjust(now); stepped != 0 {
+			l.log.Warn(logs.ClockStepped, "notice", n.Number, "stepped", stepped)
+		}
+		taken := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
+			Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
+			Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
+			Trips: n.Trips, Ran: len(n.Ran), Room: l.room(l.notices[n.Number].body)}
+		if len(n.Ran) > 0 {
+			taken.RanAgo = millis(l.now.Sub(n.Ran[0].At))
+			taken.RanZone = rules.ZoneID(settings.Index(l.config.Names.Zones, n.Ran[0].Zone))
+		}
+		if l.tracing {
+			l.log.Debug(logs.Restored, "id", n.ID, "notice", n.Number, "trips", n.Trips, "may_have_run", len(n.Ran),
+				"left", span(taken.Left))
+		}
+		l.events = append(l.events, taken)
+	}
+	l.restored = nil
 }
 
 func millis(d time.Duration) rules.Millis { return rules.Millis(d) / rules.Millis(time.Millisecond) }
@@ -311,6 +327,7 @@
 
 // gather turns what the sockets brought into events.
 func (l *Loop) gather() {
+	l.tellRestored()
 	lists, failed := l.directory.Lists()
 	for _, told := range lists {
 		l.events = append(l.events, told)
