A notice whose 200 may have come after its time also gets its end from the platform

Cause: Loop.book closed a notice on any 200. A sender counts the time of a notice from when it read the request, and hears the answer when it reads that; held up in between, it can't tell whether the answer came in time.

Change: the decisions tell which answers are sure to be in time (AnswerMayBeLate); others also end as given_up, which the protocol allows for what is over. How late a request may have been read is bounded by the turns before (arrivals). Counter: handled_late. The model does the same.

The auditor took any 200 for a delivery, which is why no soak found this. Now it wants it in the notice's time, without slack.

--- a/cmd/chuteweir/deadlines_test.go
+++ b/cmd/chuteweir/deadlines_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +15,8 @@
 // These tests hold what a sender takes for delivered against the time that its notices had.
 
 const (
+	// holdUp is how long a sender may be held up between reading its clock and writing.
+	holdUp = 150 * time.Millisecond
 	// lostAfter is how long after its time a notice must have its end.
 	lostAfter = 300 * time.Millisecond
 	// crowdedStart is how many further notices make a start slow.
@@ -45,6 +48,14 @@
 	w.must(l.Close())
 }
 
+// stand holds the sender up for a span.
+func (w *world) stand(span time.Duration) {
+	w.t.Helper()
+	w.must(w.sender.Process.Signal(syscall.SIGSTOP))
+	time.Sleep(span)
+	w.must(w.sender.Process.Signal(syscall.SIGCONT))
+}
+
 // endsBy checks that the platform is told a notice's end by a time.
 func (w *world) endsBy(id string, by time.Time) {
 	w.t.Helper()
@@ -104,3 +115,56 @@
 	w.start()
 	time.Sleep(time.Second)
 }
+
+// handReadLate hands a notice in that the sender, held up, reads late; it returns when the notice's time is up.
+func (w *world) handReadLate(grade, id string, left, late time.Duration) (up time.Time) {
+	w.t.Helper()
+	w.must(w.sender.Process.Signal(syscall.SIGSTOP))
+	up = time.Now().Add(left)
+	time.AfterFunc(late, func() { w.sender.Process.Signal(syscall.SIGCONT) })
+	w.answersAt(up.Add(late / 2))
+	w.hand(grade, id, int(left.Milliseconds()), 1)
+	w.await(1, "receiver: POST /events "+id)
+	return up
+}
+
+func TestAnswerAfterTheTimeOfANoticeReadLateLeavesItAnEnd(t *testing.T) {
+	for _, grade := range []string{"note", "order"} {
+		for _, late := range []time.Duration{holdUp, 2 * holdUp} {
+			t.Run(fmt.Sprint(grade, " ", late), func(t *testing.T) {
+				t.Parallel()
+				w := begin(t)
+				up := w.handReadLate(grade, "late", 2*time.Second, late)
+				w.endsBy("late", up.Add(lostAfter))
+			})
+		}
+	}
+}
+
+func TestAnswerAfterTheTimeOfANoticeLeavesItAnEndWhenTheSenderLeaves(t *testing.T) {
+	w := begin(t)
+	up := w.handReadLate("order", "late", 4*time.Second, holdUp)
+	time.Sleep(time.Until(up.Add(-2800 * time.Millisecond))) // no trip is begun any more when the answer comes
+	w.leave()
+	w.start()
+	w.await(1, `platform: {"message":"late","outcome":"given_up"`)
+}
+
+func TestAnswerHeardLateByASenderHeldUpLeavesItsNoticeAnEnd(t *testing.T) {
+	const tries = 4 // of each, as a held-up sender may find its timer due first
+	for try := range 2 * tries {
+		grade := []string{"note", "order"}[try%2]
+		t.Run(fmt.Sprint(grade, " ", try/2), func(t *testing.T) {
+			t.Parallel()
+			w := begin(t)
+			const left = 2 * time.Second
+			up := time.Now().Add(left)
+			w.answersAt(up.Add(20 * time.Millisecond))
+			w.hand(grade, "late", int(left.Milliseconds()), 1)
+			w.await(1, "receiver: POST /events late")
+			time.Sleep(time.Until(up.Add(-50 * time.Millisecond)))
+			w.stand(holdUp)
+			w.endsBy("late", up.Add(lostAfter))
+		})
+	}
+}
--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -229,7 +229,8 @@
 	}
 	delivered, sure := never, never
 	for _, call := range c.byID[h.ID] {
-		if call.Delivered {
+		// What comes past its time is no delivery, and its end is owed all the same.
+		if call.Delivered && call.Replied <= h.Until {
 			delivered = min(delivered, call.Replied)
 		}
 		if call.sure(c.t.Crossing) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,6 +37,7 @@
 	Destination rules.DestinationID
 	Until       time.Time    // by the wall clock
 	TakenAt     clock.Moment // tells steps of the wall clock since
+	WaitedMS    int64        `json:",omitempty"` // it may have waited so long to be read
 	Inherited   bool         `json:",omitempty"`
 	Body        []byte       `json:"-"`
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -46,6 +46,7 @@
 	Turn         time.Duration // between the beginnings of two turns of a busy loop
 	Sweep        time.Duration // between looks for what has taken too long
 	Lag          time.Duration // a turn so long after the last one, or so old, may not know what has come
+	Stall        time.Duration // the process may be held up for so long between reading its clock and writing
 
 	Hold        time.Duration // how long discovery is asked to hold a watch
 	Again       time.Duration // between watches that are not held
@@ -98,6 +99,7 @@
 		Turn:         span(s.Tick / 2),
 		Sweep:        100 * time.Millisecond,
 		Lag:          20 * time.Millisecond,
+		Stall:        150 * time.Millisecond,
 
 		Hold:        2 * time.Second,
 		Again:       100 * time.Millisecond,
--- a/internal/loop/counters.go
+++ b/internal/loop/counters.go
@@ -22,6 +22,7 @@
 	Unheard                                            int // buffers read from connections that were closed meanwhile
 	Recalled                                           int // calls taken back as their connections came up
 	InWait                                             int // calls written within a told wait
+	HandledLate                                        int // handled so late that the platform is told an end, too
 	Repeated, NoRoom                                   int // refused: an id taken on before, out of room
 	intake.Refusals
 }
@@ -43,7 +44,7 @@
 		slog.Int("further", c.Further), slog.Int("out", c.Out), slog.Int("held", c.Held),
 		slog.Int("short", c.Short), slog.Int("dismissed_for_room", c.ForRoom),
 		slog.Int("written_in_wait", c.InWait), slog.Int("recalled", c.Recalled),
-		slog.Int("unheard", c.Unheard),
+		slog.Int("unheard", c.Unheard), slog.Int("handled_late", c.HandledLate),
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -64,6 +65,7 @@
 
 	clock        clock.Clock
 	started, now time.Time
+	arrivals     arrivals
 	notices      map[rules.NoticeID]*held
 	last         rules.NoticeID
 	restored     []ledger.Notice // owed from before the start, not told to the decisions yet
@@ -82,7 +84,7 @@
 func New(c Config, log *slog.Logger) (*Loop, error) {
 	l := &Loop{config: c, log: log, started: time.Now(), notices: map[rules.NoticeID]*held{},
 		buffers: buffers.NewPool(c.Limits.Buffer), receivers: directory.NewReceivers(c.Names)}
-	l.now, l.clock = l.started, clock.New()
+	l.now, l.arrivals, l.clock = l.started, newArrivals(l.started), clock.New()
 	l.pace = pace{most: c.Limits.Turn, cores: c.Limits.Cores}
 	l.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	for _, g := range c.Settings.Grades {
@@ -97,6 +99,7 @@
 	for i := range l.config.Settings.Kinds {
 		l.config.Settings.Kinds[i].PerCall = 1
 	}
+	l.config.Settings.Stall = millis(c.Limits.Stall)
 	l.sender = rules.New(c.Seed, l.config.Settings)
 	l.intake = intake.New(c.Limits, l.buffers, c.Names, l.receivers.Knows, func() string { return l.counted().Page() })
 	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, l.record)
@@ -157,7 +160,7 @@
 		}
 		taken := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
 			Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
-			Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Inherited: n.Inherited,
+			Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Waited: rules.Millis(n.WaitedMS), Inherited: n.Inherited,
 			Trips: n.Trips, Ran: len(n.Ran), Room: l.room(l.notices[n.Number].body)}
 		if len(n.Ran) > 0 {
 			taken.RanAgo = millis(l.now.Sub(n.Ran[0].At))
@@ -238,6 +241,7 @@
 func (l *Loop) turn() (next time.Time, done bool) {
 	l.counters.Turns++
 	l.now = time.Now()
+	l.arrivals.turn(l.now)
 	l.calls.Begin(l.now)
 	l.at(l.now)
 	l.net.Gather()
@@ -393,13 +397,19 @@
 	}
 	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short ||
 		e.Result == rules.Recalled
-	if e.Over {
+	recorded := n.recorded
+	n.recorded = false
+	switch {
+	case e.Result == rules.Handled && !n.over && l.sender.AnswerMayBeLate(e.Notice, millis(l.now.Sub(l.started))):
+		l.counters.HandledLate++
+		l.end(e.Notice, directory.GivenUp, 0)
+		return
+	case e.Over:
 		n.over = true
 		l.keep(l.ledger.Closed(e.Notice))
-	} else if n.recorded && unrun {
+	case recorded && unrun:
 		l.keep(l.ledger.Unrun(e.Notice))
 	}
-	n.recorded = false
 	l.release(e.Notice, n)
 }
 
@@ -469,7 +479,7 @@
 		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(l.now), body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
-			Key: r.Key, Destination: r.Destination, Left: r.Left, Inherited: r.Inherited, Room: l.room(r.Body)})
+			Key: r.Key, Destination: r.Destination, Left: r.Left, Waited: millis(l.arrivals.waited(l.now)), Inherited: r.Inherited, Room: l.room(r.Body)})
 	}
 	return taken
 }
@@ -523,7 +533,7 @@
 		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
 			Grade:     settings.Name(l.config.Names.Grades, int(r.Grade)),
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
-			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
+			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: int64(math.Ceil(float64(millis(l.arrivals.waited(l.now))))), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
 			l.withdraw(number, r)
 			continue
--- a/internal/model/sender.go
+++ b/internal/model/sender.go
@@ -39,6 +39,7 @@
 	hand     *hand
 	n        rules.NoticeID
 	until    rules.Millis
+	waited   rules.Millis // to be read
 	call     *call
 	trips    int            // made
 	ran      []rules.Millis // when those that may have run were sent
@@ -107,6 +108,7 @@
 	s.starts++
 	settings := s.w.Settings
 	settings.Slots = min(settings.Slots, s.limits.Receivers-s.limits.Receivers/16)
+	settings.Stall = millisOf(s.limits.Stall)
 	for i := range settings.Kinds {
 		settings.Kinds = slices.Clone(settings.Kinds)
 		settings.Kinds[i].PerCall = 1
@@ -150,7 +152,8 @@
 func (s *sender) takenEvent(h *held) rules.NoticeTaken {
 	eff := h.hand.eff
 	return rules.NoticeTaken{Notice: h.n, Grade: rules.GradeID(eff.Grade), Portfolio: rules.PortfolioID(eff.Portfolio),
-		Key: rules.KeyID(eff.Key), Destination: rules.DestinationID(eff.Destination), Left: h.until - s.now(), Room: s.roomOf(h)}
+		Key: rules.KeyID(eff.Key), Destination: rules.DestinationID(eff.Destination), Left: h.until - s.now(),
+		Waited: h.waited, Room: s.roomOf(h)}
 }
 
 func (s *sender) roomOf(h *held) float64 {
@@ -272,7 +275,7 @@
 		answer(503, 0)
 	default:
 		s.last++
-		n := &held{hand: h, n: s.last, until: s.now() + h.until - h.at}
+		n := &held{hand: h, n: s.last, until: s.now() + h.until - h.at, waited: s.now() - h.at}
 		if room := s.roomOf(n); full || s.room+room > 1 {
 			s.counted.refused++
 			answer(503, 0)
@@ -503,6 +506,11 @@
 	if e.Over {
 		h.over = true
 	}
+	if e.Result == rules.Handled && h.ended == "" && s.mayBeLate(c.notice) {
+		h.ended = "given_up"
+		s.room -= s.roomOf(h)
+		s.tellEnd(h)
+	}
 	switch {
 	case h.over && h.ended == "":
 		s.forget(h)
@@ -512,6 +520,14 @@
 	s.happened(e)
 }
 
+// mayBeLate tells whether an answer heard now may have come after its notice's time, as far as the policy knows.
+func (s *sender) mayBeLate(n rules.NoticeID) bool {
+	judge, knows := s.decider.(interface {
+		AnswerMayBeLate(rules.NoticeID, rules.Millis) bool
+	})
+	return knows && judge.AnswerMayBeLate(n, s.now()-s.began)
+}
+
 // end gives a notice its end.
 func (s *sender) end(n rules.NoticeID, outcome string, retry rules.Millis) {
 	h := s.notices[n]
--- a/rules/api.go
+++ b/rules/api.go
@@ -72,6 +72,7 @@
 	Fall        Millis
 	KeyRest     Millis
 	IdleKept    Millis // how long an idle connection is kept
+	Stall       Millis // how long the process may be held up before it reads what has come, or writes what it decided
 }
 
 // Standing is what the list says of a receiver.
@@ -128,6 +129,7 @@
 		Key         KeyID // 0: none
 		Destination DestinationID
 		Left        Millis  // until the client timeout
+		Waited      Millis  // it may have waited so long to be read, which Left leaves out
 		Inherited   bool    // another sender held it and died
 		Room        float64 // share of the room for notices at this sender (memory, ledger) that it takes
 
--- a/rules/notices.go
+++ b/rules/notices.go
@@ -15,6 +15,7 @@
 	}
 	n := &notice{id: e.Notice, grade: g, destination: s.destination(e.Destination), until: s.now + e.Left,
 		room: e.Room}
+	n.surelyUntil = n.until - max(e.Waited, s.settings.Stall)
 	handedIn := n.until - g.ClientTimeout
 	n.quotedAt = handedIn + g.QuotedTime
 	n.credit = g.Credit * s.shareWorth(e.Portfolio)
@@ -79,6 +80,13 @@
 // lastCall is when a notice has its final answer at the latest; a timer may land a tick late.
 func (s *Sender) lastCall(n *notice) Millis { return n.until - 3*s.settings.Tick }
 
+// AnswerMayBeLate tells whether an answer that is heard now may have come after its notice's client timeout. Such a notice
+// needs a final answer all the same: what came too late was no delivery.
+func (s *Sender) AnswerMayBeLate(id NoticeID, now Millis) bool {
+	n := s.notices[id]
+	return n != nil && now > n.surelyUntil
+}
+
 // giveUp ends what can no longer be handled, at once.
 func (s *Sender) giveUp() {
 	var late []*notice
--- a/rules/state.go
+++ b/rules/state.go
@@ -151,7 +151,8 @@
 	key                        KeyID
 	credit, urgency, room      float64
 	quotedAt, until, restUntil Millis
-	trips, ran                 int // and those that may have run
+	surelyUntil                Millis // what is heard by then came before until, however late the notice was read
+	trips, ran                 int    // and those that may have run
 	out                        *call
 	mayHaveRun, zoneUnknown    bool
 	ranAt                      Millis // the first trip that may have run
