A mark's window allows for a hold-up of 0.15 s between deciding on a repeat and writing it

What callers might have seen: a numbered notice run twice, its second call written when the destination had forgotten its mark.

Cause: rules.passesAt let a repeat go up to the very end of RemembersFor. The process may be held up for 0.15 s between reading its clock and writing the call, and nothing allowed for that.

Change: a notice that may have run is not sent again in the last Stall of its window.

--- a/rules/gate.go
+++ b/rules/gate.go
@@ -21,12 +21,16 @@
 	if k := s.keys[n.key]; k != nil {
 		at = max(at, k.restUntil)
 	}
-	if n.mayHaveRun && n.grade.Repeat == Numbered && at >= n.ranAt+n.grade.RemembersFor {
+	if n.mayHaveRun && n.grade.Repeat == Numbered && at >= s.forgottenAt(n) {
 		return never
 	}
 	return at
 }
 
+// forgottenAt is from when on a numbered notice that may have run is not sent again: its mark must still be known when the
+// call is written, which may be a hold-up later.
+func (s *Sender) forgottenAt(n *notice) Millis { return n.ranAt + n.grade.RemembersFor - s.settings.Stall }
+
 // gate is passed by every send, in every state: it keeps the rules and the slots.
 func (s *Sender) gate(n *notice, rc *receiver) bool {
 	if k := s.keys[n.key]; k != nil && k.line[0] != n || s.passesAt(n, rc) > s.now {
