A key rests from when its call was given up, not from before

A turn read its clock, gave up the calls whose time was over, and counted the rest of their keys from that reading: held up in between, the next notice of the key could leave so much too early. The clock is read again behind the giving up.

Only suspected: the hold-up can't be brought about from outside between the two, so no test goes with it.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -249,6 +249,8 @@
 	l.at(time.Now())
 	l.intake.MakeRoom()
 	l.calls.Expire()
+	// A key rests from here: a call that was given up just now may still have been out before.
+	l.at(time.Now())
 	if !l.now.Before(l.sweepAt) {
 		l.sweepAt = l.now.Add(l.config.Limits.Sweep)
 		l.intake.Sweep(l.now)
