A return is paced by what was served before where more is held than a destination takes

Change: where a limit is told, what a sender holds counts up to the rate at which its own calls were handled before the outage, with two standard deviations; all senders' such rates together are within the capacity.

--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -31,6 +31,9 @@
 	if r.badSince == never || r.waitUntil > s.now {
 		r.phase, r.pacedFrom = s.random(), max(s.now, r.waitUntil)
 	}
+	if r.badSince == never {
+		r.servedRate = s.mostServed(r)
+	}
 	r.badSince = min(r.badSince, s.now)
 	r.badAt = max(s.now, r.waitUntil)
 	r.sure = r.sure || sure || s.now-r.badSince >= sureAfter*s.settings.Fall
--- a/rules/gate.go
+++ b/rules/gate.go
@@ -29,7 +29,9 @@
 
 // forgottenAt is from when on a numbered notice that may have run is not sent again: its mark must still be known when the
 // call is written, which may be a hold-up later.
-func (s *Sender) forgottenAt(n *notice) Millis { return n.ranAt + n.grade.RemembersFor - s.settings.Stall }
+func (s *Sender) forgottenAt(n *notice) Millis {
+	return n.ranAt + n.grade.RemembersFor - s.settings.Stall
+}
 
 // gate is passed by every send, in every state: it keeps the rules and the slots.
 func (s *Sender) gate(n *notice, rc *receiver) bool {
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -123,6 +123,7 @@
 func (s *Sender) success(r *route, c *call) {
 	r.answeredAt, r.run, r.backoff = s.now, 0, 0
 	r.handled.add(s.now, s.settings.Fall, 1)
+	r.served.add(s.now, statisticsWindow, 1)
 	r.share = min(r.share+1/(4*r.limitRate*float64(s.settings.Fall)+1), 1)
 	// An answer to a call from before the last sign of an outage tells nothing of its end.
 	if c.sentAt >= r.badAt {
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -17,15 +17,36 @@
 	if warm >= 1 {
 		return rate, false
 	}
-	// What all senders hold for the route came in over the outage, at its capacity at most: so this sender's
-	// part is what it holds over that time (a reset time at least: many see the end only), or an even part.
-	capacity := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
-	capacity = max(capacity, float64(r.destination.held)/float64(len(r.destination.routes))/float64(down))
-	capacity *= s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm
+	capacity := s.partOfCapacity(r, down) * (s.settings.ColdFrom + (1-s.settings.ColdFrom)*warm)
 	part := ownPart - (ownPart-1)*min(1, few/float64(max(s.settings.Senders, 1)))
 	return min(rate, part*s.settings.TipMultiple*capacity), true
 }
 
+// partOfCapacity is this sender's part of a warm route's capacity, a millisecond, after an outage of a length. What all
+// senders hold for the route came in over the outage: so this sender's part is what it holds over that time (a
+// reset time at least: many see the end only), or an even part. More may come in than the route can take,
+// where it has a limit; but no more was handled before: so what this sender holds counts up to that.
+func (s *Sender) partOfCapacity(r *route, outage Millis) float64 {
+	even := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
+	own := float64(r.destination.held) / float64(len(r.destination.routes)) / float64(outage)
+	if r.limitRate > 0 {
+		own = min(own, r.servedRate)
+	}
+	return max(even, own)
+}
+
+// mostServed is the rate, a millisecond, at which a route has handled this sender's calls lately, with two standard
+// deviations and two calls on top, since few calls tell it but roughly. Of a route known for a short time it is not told.
+func (s *Sender) mostServed(r *route) float64 {
+	known := s.now - r.madeAt
+	if known < knownAfter {
+		return math.Inf(1)
+	}
+	seen := 1 - math.Exp(-float64(known/statisticsWindow)) // part of the window
+	calls := r.served.read(s.now, statisticsWindow) / seen
+	return (calls + 2*math.Sqrt(calls) + 2) / float64(statisticsWindow)
+}
+
 // paceAt is when the next call may leave for a route. Senders that saw the same outage must not all call at
 // its end, so the first call after its signs comes at a part of the span that is drawn.
 func (s *Sender) paceAt(r *route) Millis {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,8 @@
 	tooMany     = 1.0 / 32 // of the calls to a kind: more refused connections are too many
 	fewCalls    = 8        // too little to know a kind by
 
+	knownAfter Millis = statisticsWindow / 3 // a route's usual rate is known
+
 	never = Millis(math.MaxFloat64)
 )
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -102,12 +102,14 @@
 	share                  float64 // of the limit, that this sender may use
 	yieldedAt              Millis
 	handled, failed        sum
-	badSince, badAt        Millis // first and last sign of an outage with no success of a later call
-	returnedAt, downFor    Millis // the end of the last outage, as far as seen, and its length
+	served                 sum     // calls handled, over the statistics window
+	servedRate             float64 // a millisecond, as the present or last outage began, and no less than it may have been
+	badSince, badAt        Millis  // first and last sign of an outage with no success of a later call
+	returnedAt, downFor    Millis  // the end of the last outage, as far as seen, and its length
 	pacedFrom              Millis
 	down, sure             bool    // an outage is sure and goes on
 	phase                  float64 // part of the span between calls until the next one
-	listedAt               Millis  // when it had a receiver last
+	listedAt, madeAt       Millis  // when it had a receiver last, and its first
 	order                  uint64  // of its making
 	stirs, gone            bool    // stirs: it is among those with something to look after
 }
@@ -278,7 +280,7 @@
 	if len(d.routes) == 0 || d.kind.Apart {
 		s.routesMade++
 		fresh := &route{id: entry.Receiver, destination: d, state: closed, window: window, share: 1,
-			badSince: never, returnedAt: -never, order: s.routesMade}
+			badSince: never, returnedAt: -never, order: s.routesMade, madeAt: s.now}
 		d.routes = append(d.routes, fresh)
 		s.routes = append(s.routes, fresh)
 	}
