The loop's admission, outcomes and restoring stand in files of their own

No function is changed. With it: an empty import and a comment that named another function in internal/calls.

--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -87,7 +87,7 @@
 	return false
 }
 
-// broke ends a call whose connection ended or went wrong. Of an answer that can't be read to its end only a first
+// connectionFailed ends a call whose connection ended or went wrong. Of an answer that can't be read to its end only a first
 // line of 200 holds: whatever else it claims, the call may have run. A wait that it tells is kept all the same.
 func (p *Pool) connectionFailed(l *connection, why string) {
 	c, status, begun := l.call, l.parser.Status(), l.parser.Begun()
--- a/internal/calls/deadlines.go
+++ b/internal/calls/deadlines.go
@@ -1,7 +1,5 @@
 package calls
 
-import ()
-
 // The calls out, ordered by the end of their time-outs.
 
 // byDeadline is a heap of calls by the end of their time-outs.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,10 +6,8 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -133,48 +131,6 @@
 	return l, nil
 }
 
-// restore takes a notice back that an earlier process owed; its end goes to the platform if it has one.
-func (l *Loop) restore(n ledger.Notice) {
-	l.counters.Restored++
-	l.ids.add(n.ID, l.now)
-	l.last = max(l.last, n.Number)
-	if n.Ended != "" {
-		l.directory.Ended(directory.End{Notice: n.Number, Message: n.ID, Outcome: n.Ended, RetryInMS: n.RetryMS})
-		return
-	}
-	body := l.buffers.NewChain()
-	body.Add(n.Body)
-	n.Body = nil
-	l.heldBytes += body.Held()
-	l.notices[n.Number] = &held{id: n.ID, mark: n.Mark, destination: n.Destination, takenAt: n.TakenAt, body: body, trips: n.Trips}
-	l.restored = append(l.restored, n)
-}
-
-// tellRestored tells the decisions of the notices that an earlier process owed. The spans that it tells count from the time
-// of the turn, by which the decisions count them, too.
-func (l *Loop) tellRestored() {
-	now := l.clock.Now(l.now)
-	for _, n := range l.restored {
-		if stepped := n.Adjust(now); stepped != 0 {
-			l.log.Warn(logs.ClockStepped, "notice", n.Number, "stepped", stepped)
-		}
-		taken := rules.NoticeTaken{Notice: n.Number, Grade: rules.GradeID(settings.Index(l.config.Names.Grades, n.Grade)),
-			Portfolio: rules.PortfolioID(settings.Index(l.config.Names.Portfolios, n.Portfolio)), Key: n.Key,
-			Destination: n.Destination, Left: millis(n.Until.Sub(l.now)), Waited: rules.Millis(n.WaitedMS), Inherited: n.Inherited,
-			Trips: n.Trips, Ran: len(n.Ran), Room: l.room(l.notices[n.Number].body)}
-		if len(n.Ran) > 0 {
-			taken.RanAgo = millis(l.now.Sub(n.Ran[0].At))
-			taken.RanZone = rules.ZoneID(settings.Index(l.config.Names.Zones, n.Ran[0].Zone))
-		}
-		if l.tracing {
-			l.log.Debug(logs.Restored, "id", n.ID, "notice", n.Number, "trips", n.Trips, "may_have_run", len(n.Ran),
-				"left", span(taken.Left))
-		}
-		l.events = append(l.events, taken)
-	}
-	l.restored = nil
-}
-
 func millis(d time.Duration) rules.Millis { return rules.Millis(d) / rules.Millis(time.Millisecond) }
 
 func span(m rules.Millis) time.Duration { return time.Duration(m * rules.Millis(time.Millisecond)) }
@@ -369,77 +325,6 @@
 	}
 }
 
-// book writes a trip's outcome into the ledger.
-func (l *Loop) book(e rules.TripEnded) {
-	n := l.notices[e.Notice]
-	n.out = false
-	if l.tracing {
-		l.log.Debug(logs.Outcome, "id", n.id, "notice", e.Notice, "receiver", e.Receiver, "result", e.Result,
-			"spent", span(e.Spent), "wait", span(e.Wait))
-	}
-	switch e.Result {
-	case rules.Handled:
-		l.counters.Handled++
-	case rules.Full:
-		l.counters.Full++
-	case rules.Errored:
-		l.counters.Errored++
-	case rules.NotConnected:
-		l.counters.Unmet++
-	case rules.Moot:
-		l.counters.Unsent++
-	case rules.Short:
-		l.counters.Short++
-		l.uncount(n)
-	case rules.Recalled:
-		l.counters.Recalled++
-		l.uncount(n)
-	default:
-		l.counters.Lost++
-	}
-	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short ||
-		e.Result == rules.Recalled
-	recorded := n.recorded
-	n.recorded = false
-	switch {
-	case e.Result == rules.Handled && !n.over && l.sender.AnswerMayBeLate(e.Notice, millis(l.now.Sub(l.started))):
-		l.counters.HandledLate++
-		l.end(e.Notice, directory.GivenUp, 0)
-		return
-	case e.Over:
-		n.over = true
-		l.keep(l.ledger.Closed(e.Notice))
-	case recorded && unrun:
-		l.keep(l.ledger.Unrun(e.Notice))
-	}
-	l.release(e.Notice, n)
-}
-
-// uncount takes back a trip that has not left.
-func (l *Loop) uncount(n *held) {
-	if n.trips > 1 {
-		l.counters.Further--
-	}
-	n.trips--
-}
-
-// record writes a trip into the ledger, just before its call is written.
-func (l *Loop) record(c *calls.Call) error {
-	if left := l.sender.WaitLeft(c.Receiver, millis(l.now.Sub(l.started))); left > 0 {
-		l.counters.InWait++
-		l.log.Warn(logs.WrittenInWait, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver, "begun_ago", l.now.Sub(c.Begun),
-			"left", span(left))
-	}
-	zone := settings.Name(l.config.Names.Zones, int(c.Zone))
-	n := l.notices[c.Notice]
-	// By the wall clock as it was when the notice was taken, like its other times.
-	at := l.now.Add(-n.takenAt.Stepped(l.clock.Now(l.now)))
-	err := l.ledger.Trip(c.Notice, ledger.Trip{At: at, Zone: zone})
-	l.keep(err)
-	n.recorded = err == nil
-	return err
-}
-
 // keep reports what the ledger could not keep.
 func (l *Loop) keep(err error) {
 	if err != nil {
@@ -447,145 +332,6 @@
 	}
 }
 
-// release lets go of a notice that is over and not out.
-func (l *Loop) release(number rules.NoticeID, n *held) {
-	if n.over && !n.out {
-		l.heldBytes -= n.body.Held()
-		n.body.Free()
-		delete(l.notices, number)
-	}
-}
-
-// take makes notices of the requests that have come, as far as there is room. An id that was taken on before is
-// another client's: what is done under it would be done to that one's notice.
-func (l *Loop) take() (taken []rules.NoticeID) {
-	for _, r := range l.intake.Take() {
-		hold := l.config.Settings.HoldLimit
-		switch {
-		case l.ids.has(r.ID):
-			l.counters.Repeated++
-			l.refuse(r, 409)
-			continue
-		case hold > 0 && len(l.notices) >= hold:
-			l.counters.NoHold++
-			l.refuse(r, 503)
-			continue
-		case l.heldBytes+r.Body.Held() > l.config.Limits.HeldBytes:
-			l.counters.NoBytes++
-			l.refuse(r, 503)
-			continue
-		}
-		l.last++
-		l.ids.add(r.ID, l.now)
-		l.heldBytes += r.Body.Held()
-		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(l.now), body: r.Body, request: r}
-		taken = append(taken, l.last)
-		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
-			Key: r.Key, Destination: r.Destination, Left: r.Left, Waited: millis(l.arrivals.waited(l.now)), Inherited: r.Inherited, Room: l.room(r.Body)})
-	}
-	return taken
-}
-
-// room is the share of what this sender can hold that a notice takes: of the memory for bodies or of the ledger, whichever
-// it takes more of.
-func (l *Loop) room(body *buffers.Chain) float64 {
-	return max(float64(body.Held())/float64(l.config.Limits.HeldBytes), ledger.Share(l.config.Limits.Disk, body.Len()))
-}
-
-func (l *Loop) refuse(r *intake.Request, status int) {
-	if l.tracing {
-		l.log.Debug(logs.Refused, "id", r.ID, "status", status)
-	}
-	r.Body.Free()
-	l.intake.Answer(r, status, 0)
-}
-
-// admitted is a notice that its client will be told is taken on.
-type admitted struct {
-	number  rules.NoticeID
-	request *intake.Request
-}
-
-// admit answers the clients of notices just handed in that the decisions end in the same turn, and gives the others to the
-// ledger.
-func (l *Loop) admit(taken []rules.NoticeID, actions []rules.Action) (all []admitted) {
-	if len(taken) == 0 {
-		return nil
-	}
-	ended := map[rules.NoticeID]rules.Action{}
-	for _, a := range actions {
-		switch a := a.(type) {
-		case rules.Dismiss:
-			ended[a.Notice] = a
-		case rules.BreakOff:
-			ended[a.Notice] = a
-		}
-	}
-	for _, number := range taken {
-		n := l.notices[number]
-		r := n.request
-		switch a := ended[number].(type) {
-		case rules.Dismiss:
-			l.dismissed(r, 429, a.RetryAfter)
-			continue
-		case rules.BreakOff:
-			l.dismissed(r, 500, 0)
-			continue
-		}
-		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
-			Grade:     settings.Name(l.config.Names.Grades, int(r.Grade)),
-			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
-			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: int64(math.Ceil(float64(millis(l.arrivals.waited(l.now))))), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
-		if err != nil {
-			l.withdraw(number, r)
-			continue
-		}
-		n.request = nil
-		all = append(all, admitted{number, r})
-	}
-	return all
-}
-
-// withdraw turns a notice away that the ledger can't keep.
-func (l *Loop) withdraw(number rules.NoticeID, r *intake.Request) {
-	l.counters.NoDisk++
-	l.intake.Answer(r, 503, 0)
-	n := l.notices[number]
-	n.over = true
-	l.calls.CallOff(number) // a call whose connection is still coming up must not leave
-	l.release(number, n)
-	l.events = append(l.events, rules.NoticeWithdrawn{Notice: number})
-}
-
-// acknowledge tells clients that their notices are taken on, once the ledger has them on disk: one write for all of a turn,
-// if no call left before.
-func (l *Loop) acknowledge(all []admitted) {
-	lost, err := l.ledger.Flush()
-	l.keep(err)
-	for _, a := range all {
-		number, r := a.number, a.request
-		if slices.Contains(lost, number) {
-			l.withdraw(number, r)
-			continue
-		}
-		l.counters.Taken++
-		if l.tracing {
-			l.log.Debug(logs.Taken, "id", r.ID, "notice", number, "grade", settings.Name(l.config.Names.Grades, int(r.Grade)),
-				"portfolio", settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), "key", strconv.FormatUint(uint64(r.Key), 10),
-				"destination", r.Destination, "body", r.Body.Len(), "left", span(r.Left))
-		}
-		l.intake.Answer(r, 202, 0)
-	}
-}
-
-func (l *Loop) dismissed(r *intake.Request, status int, retryAfter rules.Millis) {
-	l.counters.Dismissed++
-	if l.tracing {
-		l.log.Debug(logs.Refused, "id", r.ID, "status", status)
-	}
-	l.intake.Answer(r, status, retryAfter)
-}
-
 func (l *Loop) carryOut(action rules.Action) {
 	switch a := action.(type) {
 	case rules.Send:
@@ -631,25 +377,6 @@
 	}
 }
 
-// end gives a notice its end: to its client in the notice's own turn, else to the platform.
-func (l *Loop) end(number rules.NoticeID, outcome string, retryAfter rules.Millis) {
-	n := l.notices[number]
-	if n.request == nil {
-		if outcome == directory.GivenUp {
-			l.counters.GivenUp++
-		} else {
-			l.counters.HandedBack++
-		}
-		if l.tracing {
-			l.log.Debug(logs.Ended, "id", n.id, "notice", number, "outcome", outcome, "retry_in_ms", float64(retryAfter))
-		}
-		l.keep(l.ledger.Ended(number, outcome, float64(retryAfter)))
-		l.directory.Ended(directory.End{Notice: number, Message: n.id, Outcome: outcome, RetryInMS: float64(retryAfter)})
-	}
-	n.over = true
-	l.release(number, n)
-}
-
 func (l *Loop) counted() Counters {
 	c := l.counters
 	c.Refusals = l.intake.Refused
