A step of the wall clock by less than a second moves no deadline over a restart

What callers would have seen: a notice that a restart found ended up to a second after its time, which is lost, or as much early, after a small step of the wall clock. Found as kin of the restored notices with a late time.

Cause: clock.Moment.Stepped took every difference between the clocks below 1 s for drift. Under one boot the monotonic clock is slewed with the wall clock, so that any difference beyond the reading of the two is a step.

The new test on real processes steps the clock by 0.9 s: before, held 0.9 s too long (no end in its time) and ended 0.91 s early; after, neither.

Change: differences from 10 ms on count. The two clocks are read within 1 ms of each other, again if the process is held up between.

A row of TestStepOfTheWallClockIsTold wanted 100 ms to be no step, which contradicts deadlines on monotonic spans; in its place three rows want 5 ms to be none, and 100 ms to be one in either direction.

--- a/cmd/chuteweir/clock_test.go
+++ b/cmd/chuteweir/clock_test.go
@@ -54,3 +54,24 @@
 		})
 	}
 }
+
+func TestHeldNoticeKeepsItsTimeOverAStepOfTheWallClockByLessThanASecond(t *testing.T) {
+	const left = 4 * time.Second
+	for name, by := range map[string]time.Duration{"forward": 900 * time.Millisecond, "back": -900 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t)
+			w.answers(func(*standin.Asked) standin.Reply { return standin.Reply{Never: true} })
+			up := time.Now().Add(left)
+			w.hand("note", "held", int(left.Milliseconds()), 1)
+			w.await(1, "receiver")
+			w.kill()
+			w.stepWallClock(by)
+			w.start()
+			w.endsBy("held", up.Add(lostAfter))
+			if early := time.Until(up); early > lostAfter {
+				t.Errorf("ended %v before its time", early)
+			}
+		})
+	}
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,8 +10,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// leastStep is the least difference between the clocks that counts as a step. Less is drift, or a clock being slewed.
-const leastStep = time.Second
+// leastStep is the least difference between the clocks that counts as a step. Less comes of reading one after the other.
+const leastStep = 10 * time.Millisecond
+
+// The two clocks are read again if that took longer than readWithin, so many times at the most.
+const (
+	readWithin = time.Millisecond
+	readTries  = 10
+)
 
 // bootFile names the present boot of the machine: the monotonic clock begins anew with each.
 const bootFile = "/proc/sys/kernel/random/boot_id"
@@ -40,12 +46,26 @@
 }
 
 // Now is the present moment. Without a monotonic clock that processes share, Boot is empty.
-func (c Clock) Now(now time.Time) Moment {
-	var monotonic unix.Timespec
-	if c.boot == "" || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
-		return Moment{Wall: now.UnixMilli()}
+func (c Clock) Now() Moment {
+	wall := time.Now()
+	monotonic, known := c.monotonic()
+	for try := 1; known && time.Since(wall) > readWithin && try < readTries; try++ {
+		wall = time.Now()
+		monotonic, known = c.monotonic()
+	}
+	if !known {
+		return Moment{Wall: wall.UnixMilli()}
+	}
+	return Moment{Wall: wall.UnixMilli(), Monotonic: monotonic, Boot: c.boot}
+}
+
+// monotonic is the time since the boot in milliseconds, if it can be told.
+func (c Clock) monotonic() (at int64, known bool) {
+	var spec unix.Timespec
+	if c.boot == "" || unix.ClockGettime(unix.CLOCK_MONOTONIC, &spec) != nil {
+		return 0, false
 	}
-	return Moment{Wall: now.UnixMilli(), Monotonic: monotonic.Nano() / int64(time.Millisecond), Boot: c.boot}
+	return spec.Nano() / int64(time.Millisecond), true
 }
 
 // Stepped is by how much the wall clock was set forward from one moment to a later one of the same boot; below 0: back.
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -12,7 +12,9 @@
 		want  time.Duration
 	}{
 		{Moment{Wall: 5_002_000, Monotonic: 12_000, Boot: "a"}, 0},
-		{Moment{Wall: 5_002_100, Monotonic: 12_000, Boot: "a"}, 0},
+		{Moment{Wall: 5_002_005, Monotonic: 12_000, Boot: "a"}, 0},
+		{Moment{Wall: 5_002_100, Monotonic: 12_000, Boot: "a"}, 100 * time.Millisecond},
+		{Moment{Wall: 5_001_900, Monotonic: 12_000, Boot: "a"}, -100 * time.Millisecond},
 		{Moment{Wall: 8_602_000, Monotonic: 12_000, Boot: "a"}, time.Hour},
 		{Moment{Wall: 1_402_000, Monotonic: 12_000, Boot: "a"}, -time.Hour},
 		{Moment{Wall: 8_602_000, Monotonic: 12_000, Boot: "b"}, 0},
--- a/internal/loop/admission.go
+++ b/internal/loop/admission.go
@@ -37,7 +37,7 @@
 		l.last++
 		l.ids.add(r.ID, l.now)
 		l.heldBytes += r.Body.Held()
-		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(l.now), body: r.Body, request: r}
+		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(), body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
 			Key: r.Key, Destination: r.Destination, Left: r.Left, Waited: millis(l.arrivals.waited(l.now)), Inherited: r.Inherited, Room: l.room(r.Body)})
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -75,7 +75,7 @@
 	zone := settings.Name(l.config.Names.Zones, int(c.Zone))
 	n := l.notices[c.Notice]
 	// By the wall clock as it was when the notice was taken, like its other times.
-	at := l.now.Add(-n.takenAt.Stepped(l.clock.Now(l.now)))
+	at := l.now.Add(-n.takenAt.Stepped(l.clock.Now()))
 	err := l.ledger.Trip(c.Notice, ledger.Trip{At: at, Zone: zone})
 	l.keep(err)
 	n.recorded = err == nil
