--- a/internal/loop/admission.go
+++ b/internal/loop/admission.go
@@ -71,15 +71,8 @@
 	if len(taken) == 0 {
 		return nil
 	}
-	ended := map[rules.NoticeID]rules.Action{}
-	for _, a := range actions {
-		switch a := a.(type) {
-		case rules.Dismiss:
-			ended[a.Notice] = a
-		case rules.BreakOff:
-			ended[a.Notice] = a
-		}
-	}
+	ended := rules.Ends(actions)
+	waited := int64(math.Ceil(float64(millis(l.arrivals.waited(l.now)))))
 	for _, number := range taken {
 		n := l.notices[number]
 		r := n.request
@@ -94,7 +87,7 @@
 		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
 			Grade:     settings.Name(l.config.Names.Grades, int(r.Grade)),
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
-			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: int64(math.Ceil(float64(millis(l.arrivals.waited(l.now))))), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
+			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: waited, Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
 			l.withdraw(number, r)
 			continue
--- a/internal/model/sender.go
+++ b/internal/model/sender.go
@@ -298,16 +298,9 @@
 		return
 	}
 	actions := s.decider.Decide(s.now()-s.began, events)
-	ended := map[rules.NoticeID]rules.Action{}
+	var ended map[rules.NoticeID]rules.Action
 	if len(fresh) > 0 {
-		for _, a := range actions {
-			switch a := a.(type) {
-			case rules.Dismiss:
-				ended[a.Notice] = a
-			case rules.BreakOff:
-				ended[a.Notice] = a
-			}
-		}
+		ended = rules.Ends(actions)
 	}
 	for _, h := range fresh {
 		status, after := 202, rules.Millis(0)
--- a/rules/api.go
+++ b/rules/api.go
@@ -239,3 +239,17 @@
 func (t Turned) String() string {
 	return fmt.Sprintf("destination %d route %d %s: %s", t.Destination, t.Route, t.State, t.Why)
 }
+
+// Ends is the final answers among actions, Dismiss or BreakOff, by their notices.
+func Ends(actions []Action) map[NoticeID]Action {
+	ends := map[NoticeID]Action{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Dismiss:
+			ends[a.Notice] = a
+		case BreakOff:
+			ends[a.Notice] = a
+		}
+	}
+	return ends
+}
