The pace of a return keeps to what was served before the outage while the route warms up

Refusals of a cold route count as new signs, and each measured anew what the route had served, a sum that decays through the outage: so the bound shrank with each (by a quarter for an outage of 10 s).

--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -31,7 +31,7 @@
 	if r.badSince == never || r.waitUntil > s.now {
 		r.phase, r.pacedFrom = s.random(), max(s.now, r.waitUntil)
 	}
-	if r.badSince == never {
+	if r.badSince == never && s.now-r.returnedAt >= s.settings.WarmWithin {
 		r.servedRate = s.mostServed(r)
 	}
 	r.badSince = min(r.badSince, s.now)
