--- a/rules/gate.go
+++ b/rules/gate.go
@@ -27,8 +27,8 @@
 	return at
 }
 
-// forgottenAt is from when on a numbered notice that may have run is not sent again: its mark must still be known when the
-// call is written, which may be a hold-up later.
+// forgottenAt is from when on a numbered notice that may have run is not sent again: its mark must still be
+// known when the call is written, which may be a hold-up later.
 func (s *Sender) forgottenAt(n *notice) Millis {
 	return n.ranAt + n.grade.RemembersFor - s.settings.Stall
 }
--- a/rules/notices.go
+++ b/rules/notices.go
@@ -80,8 +80,8 @@
 // lastCall is when a notice has its final answer at the latest; a timer may land a tick late.
 func (s *Sender) lastCall(n *notice) Millis { return n.until - 3*s.settings.Tick }
 
-// AnswerMayBeLate tells whether an answer that is heard now may have come after its notice's client timeout. Such a notice
-// needs a final answer all the same: what came too late was no delivery.
+// AnswerMayBeLate tells whether an answer that is heard now may have come after its notice's client timeout.
+// Such a notice needs a final answer all the same: what came too late was no delivery.
 func (s *Sender) AnswerMayBeLate(id NoticeID, now Millis) bool {
 	n := s.notices[id]
 	return n != nil && now > n.surelyUntil
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -35,8 +35,9 @@
 	return max(even, own)
 }
 
-// mostServed is the rate, a millisecond, at which a route has handled this sender's calls lately, with two standard
-// deviations and two calls on top, since few calls tell it but roughly. Of a route known for a short time it is not told.
+// mostServed is the rate, a millisecond, at which a route has handled this sender's calls lately, with two
+// standard deviations and two calls on top, since few calls tell it but roughly. A route known for a short
+// time has no such bound.
 func (s *Sender) mostServed(r *route) float64 {
 	known := s.now - r.madeAt
 	if known < knownAfter {
