--- a/rules/pace.go
+++ b/rules/pace.go
@@ -22,10 +22,11 @@
 	return min(rate, part*s.settings.TipMultiple*capacity), true
 }
 
-// partOfCapacity is this sender's part of a warm route's capacity, a millisecond, after an outage of a length. What all
-// senders hold for the route came in over the outage: so this sender's part is what it holds over that time (a
-// reset time at least: many see the end only), or an even part. More may come in than the route can take,
-// where it has a limit; but no more was handled before: so what this sender holds counts up to that.
+// partOfCapacity is this sender's part of a warm route's capacity, a millisecond, after an outage of a
+// length. What all senders hold for the route came in over the outage: so this sender's part is what it
+// holds over that time (a reset time at least: many see the end only), or an even part. More may come in
+// than the route can take, where it has a limit; but no more was handled before: so what this sender holds
+// counts up to that.
 func (s *Sender) partOfCapacity(r *route, outage Millis) float64 {
 	even := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
 	own := float64(r.destination.held) / float64(len(r.destination.routes)) / float64(outage)
