--- a/cmd/chuteweir/main_test.go
+++ b/cmd/chuteweir/main_test.go
@@ -260,9 +260,12 @@
 	w.sender.Stdout, w.sender.Stderr = w.log, w.log
 	w.must(w.sender.Start())
 	for range 500 {
+		// Its line may be written after its first answer: the log is never waited for.
 		if out, err := http.Get("http://" + w.listen + "/up"); err == nil {
 			out.Body.Close()
-			return
+			if strings.Contains(w.log.String(), "msg=ready") {
+				return
+			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
