--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -264,7 +264,8 @@
 		c.say(Lost, h.ID, "has no final answer")
 	case final < never && final > due:
 		c.say(Lost, h.ID, "has its final answer %.0f ms after its time was up", final-h.Until)
-	case sure < never && ended < never && ended > sure+c.t.Crossing && !c.away(h.Sender, sure-c.t.Crossing, ended):
+	// What is delivered as its time ends may be ended as well, and told when the platform takes ends.
+	case sure < h.Until-c.t.Crossing && ended < never && ended > sure+c.t.Crossing && !c.away(h.Sender, sure-c.t.Crossing, ended):
 		c.say(Lost, h.ID, "was delivered and %.0f ms later ended as %s", ended-sure, outcome)
 	}
 	for _, call := range c.byID[h.ID] {
