--- a/internal/loop/restore.go
+++ b/internal/loop/restore.go
@@ -30,6 +30,9 @@
 // tellRestored tells the decisions of the notices that an earlier process owed. The spans that it tells count from the time
 // of the turn, by which the decisions count them, too.
 func (l *Loop) tellRestored() {
+	if len(l.restored) == 0 {
+		return
+	}
 	now := l.clock.Now()
 	for _, n := range l.restored {
 		if stepped := n.Adjust(now); stepped != 0 {
