--- a/cmd/chuteweir/deadlines_test.go
+++ b/cmd/chuteweir/deadlines_test.go
@@ -116,7 +116,7 @@
 	time.Sleep(time.Second)
 }
 
-// handReadLate hands a notice in that the sender, held up, reads late; it returns when the notice's time is up.
+// handReadLate hands a notice in that the sender, held up, reads late. It returns the end of the notice's time.
 func (w *world) handReadLate(grade, id string, left, late time.Duration) (up time.Time) {
 	w.t.Helper()
 	w.must(w.sender.Process.Signal(syscall.SIGSTOP))
