Review, case 1: the copy of an answer is taken for the answer to the next call

Cause: a call goes out on an idle connection after one look for unasked bytes. A second copy of the last answer that arrives behind that look, while the trip is written down and the call is on its way, is read as the call's answer.

Nothing is fixed.

--- /dev/null
+++ b/review/stage/outside.go
@@ -0,0 +1,305 @@
+package stage
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Final is a notice of an end that the platform was given.
+type Final struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	At      time.Time
+}
+
+// Platform is discovery and the taker of notices of ends.
+type Platform struct {
+	stage   *Stage
+	Address string
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	list    List
+	history []List // what changed with each revision
+	finals  []Final
+	Told    func(revision int, complete bool) // called when a list was written
+	// Closing makes every answer the last on its connection.
+	Closing bool
+
+	listener net.Listener
+	open     map[net.Conn]bool
+}
+
+// NewPlatform listens on a free port.
+func (s *Stage) NewPlatform(members []Member) (*Platform, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{stage: s, Address: l.Addr().String(), list: List{Revision: 1, Complete: true, Members: members}, listener: l,
+		open: map[net.Conn]bool{}}
+	p.changed = sync.NewCond(&p.mu)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.open[c] = true
+			p.mu.Unlock()
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Retire ends an address that a new configuration has left: it takes no new connection, and closes the open ones after 1.5 s.
+func (p *Platform) Retire() {
+	p.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for c := range p.open {
+			c.Close()
+		}
+	})
+}
+
+// List is the whole list as it stands.
+func (p *Platform) List() List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.list
+	list.Members = append([]Member(nil), p.list.Members...)
+	return list
+}
+
+// Change takes a member into the list, or changes it. One that is gone leaves it.
+func (p *Platform) Change(m Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list.Revision++
+	var members []Member
+	found := false
+	for _, old := range p.list.Members {
+		if old.ID == m.ID {
+			found = true
+			if m.Phase != "gone" {
+				members = append(members, m)
+			}
+			continue
+		}
+		members = append(members, old)
+	}
+	if !found && m.Phase != "gone" {
+		members = append(members, m)
+	}
+	p.list.Members = members
+	p.history = append(p.history, List{Revision: p.list.Revision, Members: []Member{m}})
+	p.stage.Say("discovery: revision %d, %s is %s", p.list.Revision, m.ID, m.Phase)
+	p.changed.Broadcast()
+}
+
+// Finals is the notices of ends so far.
+func (p *Platform) Finals() []Final {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Final(nil), p.finals...)
+}
+
+func (p *Platform) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		p.mu.Lock()
+		delete(p.open, c)
+		p.mu.Unlock()
+	}()
+	for r := bufio.NewReader(c); ; {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		switch request.URL.Path {
+		case "/v2/finals":
+			if !p.take(body) || !p.answer(c, 204, nil) {
+				return
+			}
+		case "/discovery/hosts":
+			list := p.wait(request)
+			text, _ := json.Marshal(list)
+			if !p.answer(c, 200, text) {
+				return
+			}
+			p.stage.Say("discovery wrote revision %d, complete %v, %d bytes", list.Revision, list.Complete, len(text))
+			if p.Told != nil {
+				p.Told(list.Revision, list.Complete)
+			}
+		default:
+			p.answer(c, 404, nil)
+		}
+		if p.Closing {
+			return
+		}
+	}
+}
+
+func (p *Platform) answer(c net.Conn, status int, body []byte) bool {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if status != 204 {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	if p.Closing {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(body)
+	_, err := c.Write(b.Bytes())
+	if p.Closing {
+		c.Close()
+	}
+	return err == nil
+}
+
+func (p *Platform) take(body []byte) bool {
+	for _, line := range bytes.Split(bytes.TrimSpace(body), []byte("\n")) {
+		f := Final{At: time.Now()}
+		if json.Unmarshal(line, &f) != nil {
+			return false
+		}
+		p.mu.Lock()
+		p.finals = append(p.finals, f)
+		p.mu.Unlock()
+		p.stage.Say("platform was told the end of %s: %s", f.Message, f.Outcome)
+	}
+	return true
+}
+
+// wait answers a request for the whole list, or holds a watch.
+func (p *Platform) wait(request *http.Request) List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, err := strconv.Atoi(request.FormValue("from"))
+	if err != nil {
+		return p.list
+	}
+	hold, _ := strconv.Atoi(request.FormValue("hold_ms"))
+	until := time.Now().Add(time.Duration(hold) * time.Millisecond)
+	timer := time.AfterFunc(time.Until(until), func() { p.changed.Broadcast() })
+	defer timer.Stop()
+	for p.list.Revision <= from && time.Now().Before(until) {
+		p.changed.Wait()
+	}
+	if from < 1 {
+		return p.list
+	}
+	changes := List{Revision: p.list.Revision, Members: []Member{}}
+	for _, h := range p.history {
+		if h.Revision > from {
+			changes.Members = append(changes.Members, h.Members...)
+		}
+	}
+	return changes
+}
+
+// Call is a call that has come to a receiver, whole.
+type Call struct {
+	ID   string
+	Body []byte
+	At   time.Time
+	Conn net.Conn
+	// Number counts the calls on its connection, from 1 on.
+	Number int
+	reader *bufio.Reader
+}
+
+// Buffered is how much of a further call was read already.
+func (c Call) Buffered() int { return c.reader.Buffered() }
+
+// Receiver is a receiver on a free port. Answer is called with each call; its result tells whether the connection goes on.
+type Receiver struct {
+	Member Member
+	Answer func(Call) bool
+}
+
+// NewReceiver listens on a free port.
+func (s *Stage) NewReceiver(id string, cell int, answer func(Call) bool) (*Receiver, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Receiver{Answer: answer, Member: Member{ID: id, HostPort: l.Addr().String(), Locality: "a", Flavor: "plain", Cell: cell,
+		Phase: "ready", Size: 1}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(c)
+		}
+	}()
+	return r, nil
+}
+
+func (r *Receiver) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if !r.Answer(Call{request.Header.Get("Request-Id"), body, time.Now(), c, n, reader}) {
+			return
+		}
+	}
+}
+
+// Answer is an answer without a body.
+func Answer(status int, headers string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers)
+}
+
+// Request is a client's request.
+func Request(id, class string, dest, timeoutMS int, body []byte) []byte {
+	head := fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: %s\r\nRequest-Class: %s\r\nTenant: acme\r\n"+
+		"Request-Timeout-Ms: %d\r\nContent-Length: %d\r\nX-Consignee: dest=%d\r\n\r\n", class, id, class, timeoutMS, len(body), dest)
+	return append(head, body...)
+}
+
+// HandIn hands in one message on a connection of its own and returns the status, or 0.
+func HandIn(address, id, class string, dest, timeoutMS int, body []byte) (int, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	if _, err := c.Write(Request(id, class, dest, timeoutMS, body)); err != nil {
+		return 0, err
+	}
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	a.Body.Close()
+	return a.StatusCode, nil
+}
