--- a/review/stage/outside.go
+++ b/review/stage/outside.go
@@ -30,12 +30,6 @@
 	list    List
 	history []List // what changed with each revision
 	finals  []Final
-	Told    func(revision int, complete bool) // called when a list was written
-	// Closing makes every answer the last on its connection.
-	Closing bool
-
-	listener net.Listener
-	open     map[net.Conn]bool
 }
 
 // NewPlatform listens on a free port.
@@ -44,8 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{stage: s, Address: l.Addr().String(), list: List{Revision: 1, Complete: true, Members: members}, listener: l,
-		open: map[net.Conn]bool{}}
+	p := &Platform{stage: s, Address: l.Addr().String(), list: List{Revision: 1, Complete: true, Members: members}}
 	p.changed = sync.NewCond(&p.mu)
 	go func() {
 		for {
@@ -53,27 +46,12 @@
 			if err != nil {
 				return
 			}
-			p.mu.Lock()
-			p.open[c] = true
-			p.mu.Unlock()
 			go p.serve(c)
 		}
 	}()
 	return p, nil
 }
 
-// Retire ends an address that a new configuration has left: it takes no new connection, and closes the open ones after 1.5 s.
-func (p *Platform) Retire() {
-	p.listener.Close()
-	time.AfterFunc(1500*time.Millisecond, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for c := range p.open {
-			c.Close()
-		}
-	})
-}
-
 // List is the whole list as it stands.
 func (p *Platform) List() List {
 	p.mu.Lock()
@@ -117,12 +95,7 @@
 }
 
 func (p *Platform) serve(c net.Conn) {
-	defer func() {
-		c.Close()
-		p.mu.Lock()
-		delete(p.open, c)
-		p.mu.Unlock()
-	}()
+	defer c.Close()
 	for r := bufio.NewReader(c); ; {
 		request, err := http.ReadRequest(r)
 		if err != nil {
@@ -144,15 +117,9 @@
 				return
 			}
 			p.stage.Say("discovery wrote revision %d, complete %v, %d bytes", list.Revision, list.Complete, len(text))
-			if p.Told != nil {
-				p.Told(list.Revision, list.Complete)
-			}
 		default:
 			p.answer(c, 404, nil)
 		}
-		if p.Closing {
-			return
-		}
 	}
 }
 
@@ -162,15 +129,9 @@
 	if status != 204 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
-	if p.Closing {
-		b.WriteString("Connection: close\r\n")
-	}
 	b.WriteString("\r\n")
 	b.Write(body)
 	_, err := c.Write(b.Bytes())
-	if p.Closing {
-		c.Close()
-	}
 	return err == nil
 }
 
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -315,6 +315,3 @@
 	text, _ := io.ReadAll(a.Body)
 	return strings.ReplaceAll(strings.TrimSpace(string(text)), "\n", " ")
 }
-
-// Pid is the process's id.
-func (p *Sender) Pid() int { return p.command.Process.Pid }
