--- a/review/stage/outside.go
+++ b/review/stage/outside.go
@@ -25,11 +25,9 @@
 	stage   *Stage
 	Address string
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	list    List
-	history []List // what changed with each revision
-	finals  []Final
+	mu     sync.Mutex
+	list   List
+	finals []Final
 }
 
 // NewPlatform listens on a free port.
@@ -39,7 +37,6 @@
 		return nil, err
 	}
 	p := &Platform{stage: s, Address: l.Addr().String(), list: List{Revision: 1, Complete: true, Members: members}}
-	p.changed = sync.NewCond(&p.mu)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -61,32 +58,6 @@
 	return list
 }
 
-// Change takes a member into the list, or changes it. One that is gone leaves it.
-func (p *Platform) Change(m Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.list.Revision++
-	var members []Member
-	found := false
-	for _, old := range p.list.Members {
-		if old.ID == m.ID {
-			found = true
-			if m.Phase != "gone" {
-				members = append(members, m)
-			}
-			continue
-		}
-		members = append(members, old)
-	}
-	if !found && m.Phase != "gone" {
-		members = append(members, m)
-	}
-	p.list.Members = members
-	p.history = append(p.history, List{Revision: p.list.Revision, Members: []Member{m}})
-	p.stage.Say("discovery: revision %d, %s is %s", p.list.Revision, m.ID, m.Phase)
-	p.changed.Broadcast()
-}
-
 // Finals is the notices of ends so far.
 func (p *Platform) Finals() []Final {
 	p.mu.Lock()
@@ -149,31 +120,15 @@
 	return true
 }
 
-// wait answers a request for the whole list, or holds a watch.
+// wait answers a request for the whole list, or holds a watch: the list does not change here.
 func (p *Platform) wait(request *http.Request) List {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	from, err := strconv.Atoi(request.FormValue("from"))
-	if err != nil {
-		return p.list
+	list := p.List()
+	if from, err := strconv.Atoi(request.FormValue("from")); err != nil || from < list.Revision {
+		return list
 	}
 	hold, _ := strconv.Atoi(request.FormValue("hold_ms"))
-	until := time.Now().Add(time.Duration(hold) * time.Millisecond)
-	timer := time.AfterFunc(time.Until(until), func() { p.changed.Broadcast() })
-	defer timer.Stop()
-	for p.list.Revision <= from && time.Now().Before(until) {
-		p.changed.Wait()
-	}
-	if from < 1 {
-		return p.list
-	}
-	changes := List{Revision: p.list.Revision, Members: []Member{}}
-	for _, h := range p.history {
-		if h.Revision > from {
-			changes.Members = append(changes.Members, h.Members...)
-		}
-	}
-	return changes
+	time.Sleep(time.Duration(hold) * time.Millisecond)
+	return List{Revision: list.Revision, Members: []Member{}}
 }
 
 // Call is a call that has come to a receiver, whole.
