Events of a closed connection no longer end the next one with its descriptor's number

Cause: nbio's poller takes up to 1,024 events at a time and looks each up by descriptor number. The loop closes connections on its own goroutine (Conn.Close, and Conn.Write when a write fails or passes the limit of what may wait); the kernel gives the number to the next connection, and the poller then applies what it still holds of the old one, a reset, to the new one.

Change: a new connection whose number was closed outside the poller is not shown to the poller before that has passed, woken through an eventfd that it watches. Closes on the poller's own goroutine are safe: the event in hand is the connection's only one. Reads are ours now (nbio's OnRead), straight into the buffers that are queued.

Why it works: a lookup finds nothing under a number until the connection is added, and the kernel takes a closed descriptor out of epoll before close returns, so no event of the old one can come after the poller has passed.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,7 +3,10 @@
 package sockets
 
 import (
+	"cmp"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -29,6 +32,7 @@
 	net    *Net
 	owner  Owner
 	nb     *nbio.Conn // set before Opened is told
+	fd     int        // of nb, set with it
 	cancel context.CancelFunc
 	opened bool         // these two are the gathering goroutine's
 	closed bool         // by its owner or from outside
@@ -50,10 +54,10 @@
 // Net is all connections of the process.
 type Net struct {
 	engine  *nbio.Engine
+	reuse   *reuseGuard
 	limits  limits.Limits
 	pool    *buffers.Pool
 	clients int // under mu
-	dials   sync.WaitGroup
 
 	mu     sync.Mutex
 	room   *sync.Cond
@@ -70,7 +74,7 @@
 
 // Start listens on an address; clients' connections belong to accepted.
 func Start(address string, l limits.Limits, pool *buffers.Pool, accepted Owner) (*Net, error) {
-	n := &Net{limits: l, pool: pool, ready: make(chan struct{}, 1)}
+	n := &Net{limits: l, pool: pool, ready: make(chan struct{}, 1), reuse: newReuseGuard()}
 	n.room = sync.NewCond(&n.mu)
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = l.Clients + l.Receivers + 1024
@@ -83,43 +87,19 @@
 			return &capped{listener, n}, err
 		},
 	})
-	n.engine.OnOpen(func(nb *nbio.Conn) {
-		if nb.Session() == nil {
-			n.mu.Lock()
-			n.clients++
-			n.mu.Unlock()
-			c := &Conn{net: n, owner: accepted, nb: nb}
-			nb.SetSession(c)
-			n.put(event{conn: c, opened: true})
+	n.engine.OnOpen(func(nb *nbio.Conn) { n.open(nb, accepted) })
+	n.engine.OnRead(func(nb *nbio.Conn) {
+		switch session := n.session(nb).(type) {
+		case *reuseGuard:
+			session.woken()
+		case *Conn:
+			n.read(session)
 		}
 	})
-	n.engine.OnData(func(nb *nbio.Conn, b []byte) {
-		c := n.of(nb)
-		for len(b) > 0 {
-			buffer := pool.Get()
-			part := min(len(b), cap(*buffer))
-			*buffer = append(*buffer, b[:part]...)
-			b = b[part:]
-			n.put(event{conn: c, data: buffer})
-		}
-	})
-	nothing := []byte{}
-	n.engine.OnReadBufferAlloc(func(nb *nbio.Conn) *[]byte {
-		if n.beginRead(n.of(nb)) {
-			return n.engine.PollerBufferPtr(nb)
-		}
-		return &nothing // and so nothing is read
-	})
-	n.engine.OnReadBufferFree(func(nb *nbio.Conn, _ *[]byte) { n.endRead(n.of(nb)) })
 	n.engine.OnClose(func(nb *nbio.Conn, err error) {
-		c := n.of(nb)
-		if c.owner == accepted {
-			n.mu.Lock()
-			n.clients--
-			n.room.Broadcast()
-			n.mu.Unlock()
+		if c, is := n.session(nb).(*Conn); is {
+			n.closed(c, c.owner == accepted, err)
 		}
-		n.put(event{conn: c, err: err})
 	})
 	n.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, size int) {
 		nb.Session().(*Conn).left.Add(int64(size))
@@ -128,15 +108,87 @@
 	if err := n.engine.Start(); err != nil {
 		return nil, err
 	}
+	if err := n.reuse.watch(n.engine); err != nil {
+		n.engine.Stop()
+		return nil, err
+	}
 	return n, nil
 }
 
-// of is the connection that nbio means. Its goroutines learn of a dialled one through the kernel, which orders nothing in
-// memory: the lock does, against the goroutine that dialled it.
-func (n *Net) of(nb *nbio.Conn) *Conn {
+// open prepares a connection before the poller knows it: one without a session was accepted and belongs to accepted.
+func (n *Net) open(nb *nbio.Conn, accepted Owner) {
+	if nb.Session() == any(n.reuse) {
+		return
+	}
+	fd := nb.Hash()
+	n.reuse.await(fd)
+	if c, dialled := nb.Session().(*Conn); dialled {
+		c.fd = fd
+		return // told by Dial, once the poller knows it
+	}
+	n.mu.Lock()
+	n.clients++
+	n.mu.Unlock()
+	c := &Conn{net: n, owner: accepted, nb: nb, fd: fd}
+	nb.SetSession(c)
+	n.put(event{conn: c, opened: true})
+}
+
+// closed tells that the poller knows a connection no more.
+func (n *Net) closed(c *Conn, client bool, err error) {
+	if client {
+		n.mu.Lock()
+		n.clients--
+		n.room.Broadcast()
+		n.mu.Unlock()
+	}
+	n.put(event{conn: c, err: err})
+}
+
+// session is what a connection of nbio's stands for. Its goroutines learn of a dialled one through the kernel, which orders
+// nothing in memory: the lock does, against the goroutine that dialled it.
+func (n *Net) session(nb *nbio.Conn) any {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return nb.Session().(*Conn)
+	return nb.Session()
+}
+
+// readsPerEvent is how many buffers are read from a connection before the poller turns to the others.
+const readsPerEvent = 3
+
+// read takes what has come on a connection, on the poller's goroutine.
+func (n *Net) read(c *Conn) {
+	defer n.endRead(c)
+	if !n.beginRead(c) {
+		return
+	}
+	for range readsPerEvent {
+		buffer := n.pool.Get()
+		size := cap(*buffer)
+		count, err := readInto(c.nb, (*buffer)[:size])
+		if count <= 0 {
+			n.pool.Put(buffer)
+			if !errors.Is(err, syscall.EAGAIN) {
+				c.nb.CloseWithError(cmp.Or(err, io.EOF))
+			}
+			return
+		}
+		*buffer = (*buffer)[:count]
+		n.put(event{conn: c, data: buffer})
+		if count < size {
+			return
+		}
+	}
+}
+
+// readInto reads without waiting. No bytes and no error are the stream's end.
+func readInto(nb *nbio.Conn, b []byte) (int, error) {
+	for {
+		count, err := nb.Read(b)
+		if !errors.Is(err, syscall.EINTR) {
+			return count, err
+		}
+	}
 }
 
 // beginRead tells whether the poller may read a connection. Whoever seals one sets sealed before looking at reading, and the
@@ -219,7 +271,7 @@
 		c := e.conn
 		switch {
 		case e.opened && c.closed:
-			c.nb.Close() // its owner gave up while it came up
+			c.shut() // its owner gave up while it came up
 		case c.closed:
 			if e.data != nil {
 				n.unheard++
@@ -246,9 +298,7 @@
 func (n *Net) Dial(address string, timeout time.Duration, owner Owner) *Conn {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	c := &Conn{net: n, owner: owner, cancel: cancel}
-	n.dials.Add(1)
 	go func() {
-		defer n.dials.Done()
 		defer cancel()
 		dialer := net.Dialer{KeepAlive: -1}
 		plain, err := dialer.DialContext(ctx, "tcp", address)
@@ -276,7 +326,11 @@
 // Write sends bytes without waiting. An error is told by Closed, too.
 func (c *Conn) Write(b []byte) error {
 	c.wanted += int64(len(b))
-	_, err := c.nb.Write(b)
+	var err error
+	c.net.reuse.closing(c.fd, func() bool {
+		_, err = c.nb.Write(b) // which closes the connection when it fails or too much waits to be written
+		return err != nil
+	})
 	return err
 }
 
@@ -342,10 +396,18 @@
 		c.cancel()
 	}
 	if c.opened { // else it is closed when its opening is gathered
-		c.nb.Close()
+		c.shut()
 	}
 }
 
+// shut closes the descriptor, whose number is then kept from new connections for as long as the poller may hold its events.
+func (c *Conn) shut() {
+	c.net.reuse.closing(c.fd, func() bool {
+		c.nb.Close()
+		return true
+	})
+}
+
 // CloseWrite ends the sending side, so that the peer can read what was written before.
 func (c *Conn) CloseWrite() { c.descriptor(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) }) }
 
@@ -355,7 +417,10 @@
 	n.ended = true
 	n.room.Broadcast()
 	n.mu.Unlock()
+	n.reuse.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	n.engine.Shutdown(ctx)
+	if n.engine.Shutdown(ctx) == nil {
+		n.reuse.close()
+	}
 }
