Commands sent at once are all answered, in order; what can't be held waits in the kernel

Commands behind a refused one or behind SIGTERM got nothing.

Cause: while a request waited for its answer, what came behind it was kept up to 72 KiB, and beyond that the connection dropped. A closing answer was the last one, whatever had been read behind its request. No bound held over all connections.

Change: nbio tells an event once and is asked for the next. A client is read 2 KiB at a time, or what is known to be missing of its request, and not on before all that was read is answered and the answers have left. Requests that were read together are served in one turn and answered in order. Only the answer behind which nothing has come closes. Dialled connections are read as far as an answer can go, since nbio closes them at the first word of their end. Time unread behind others counts as waited.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -145,7 +145,7 @@
 	if p.tracing {
 		p.log.Debug(logs.Connecting, "notice", c.Notice, "receiver", c.Receiver, "address", c.Address)
 	}
-	l.conn = p.net.Dial(c.Address, p.limits.ConnectTime, p)
+	l.conn = p.net.Dial(c.Address, p.limits.ConnectTime, p.limits.Head+p.limits.Body, p)
 	p.connections[l.conn] = l
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -348,7 +348,7 @@
 	}
 	if x.conn == nil {
 		x.parser = http1.NewParser(x.d.pool, true, l.Head, l.Fields, x.body)
-		x.conn, x.up = x.d.net.Dial(x.d.address, l.ConnectTime, x), false
+		x.conn, x.up = x.d.net.Dial(x.d.address, l.ConnectTime, l.Head+x.body, x), false
 		x.due = x.d.now.Add(2 * l.ConnectTime)
 		return
 	}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -161,6 +161,14 @@
 	return b, true, nil
 }
 
+// Missing is the number of bytes that are known to be missing of the message; 0 where that is not known.
+func (p *Parser) Missing() int {
+	if p.stage == sized {
+		return p.left
+	}
+	return 0
+}
+
 // Take hands over the message, of which the head is in, and begins the next.
 func (p *Parser) Take() *Message {
 	m := p.message
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,6 +2,7 @@
 package intake
 
 import (
+	"errors"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -27,22 +28,10 @@
 	Left        rules.Millis
 	Inherited   bool // a sender that died, or did not answer, had it
 	Body        *buffers.Chain
-	client      *client
-}
-
-// client is one connection.
-type client struct {
-	conn    *sockets.Conn
-	parser  *http1.Parser
-	born    time.Time
-	since   time.Time // of the last change
-	served  bool      // it has had an answer
-	busy    bool      // a request waits for its answer
-	closing bool      // the last answer is written
-	waiting []byte    // bytes behind the request that waits
-	passed  int       // bytes passed over since the last answer
-	pages   int       // asked for in this turn
-	pagesAt time.Time
+	// Since is the earliest time at which a request can have come that lay unread behind others of its client; zero: it lay behind none.
+	Since  time.Time
+	client *client
+	answer *answer
 }
 
 // Refusals counts requests and connections turned away without the module's having seen them, by what was wrong.
@@ -77,7 +66,7 @@
 
 // Opened begins a client's connection.
 func (in *Intake) Opened(conn *sockets.Conn) {
-	in.clients[conn] = &client{conn: conn, born: in.now, since: in.now,
+	in.clients[conn] = &client{conn: conn, born: in.now, since: in.now, window: in.limits.Window,
 		parser: http1.NewParser(in.pool, false, in.limits.Head, in.limits.Fields, in.limits.Body)}
 }
 
@@ -91,107 +80,114 @@
 // Data takes bytes from a client.
 func (in *Intake) Data(conn *sockets.Conn, b []byte) {
 	c := in.clients[conn]
-	switch {
-	case c == nil:
-	case c.closing:
-		// It is read on, so that it reads its answer, but not without end.
-		if c.passed += len(b); c.passed > in.limits.Discard {
-			in.Refused.Flooding++
-			in.drop(c)
-		}
-	case c.busy:
-		// Clients send one request at a time; one that sends on and on before its answer is cut off.
-		if c.waiting = append(c.waiting, b...); len(c.waiting) > in.limits.Head+in.limits.Body {
-			in.Refused.Flooding++
-			in.drop(c)
-		}
-	default:
-		in.read(c, b)
+	if c == nil {
+		return
+	}
+	if c.deaf {
+		in.discard(c, len(b))
+		return
 	}
+	in.read(c, b)
+	if c.window -= len(b); c.window <= 0 && c.behind.IsZero() {
+		c.behind = in.now
+	}
+	in.flush(c)
 }
 
+// read takes the requests that bytes hold, in their order.
 func (in *Intake) read(c *client, b []byte) {
-	for !c.busy && !c.closing && len(b) > 0 {
+	for !c.deaf && len(b) > 0 {
 		if !c.parser.Begun() {
 			c.since = in.now
 		}
 		rest, done, err := c.parser.Feed(b)
 		if err != nil {
-			status := 400
-			if fault, ok := err.(*http1.Fault); ok {
-				status = fault.Status
-			}
-			in.Refused.Unreadable++
-			c.parser.Free() // what follows is passed over
-			delete(in.begun, c)
-			in.write(c, status, nil, "", true)
-			return
+			in.unreadable(c, err)
+			break
 		}
 		b = rest
 		if done {
 			in.serve(c, c.parser.Take())
 		} else if c.parser.Waits() {
-			c.conn.Write([]byte(http1.Continue))
+			c.continues = true
 		}
 	}
-	if c.busy && len(b) > 0 {
-		c.waiting = append(c.waiting, b...)
-	}
-	if in.clients[c.conn] == c && c.parser.Begun() {
+	if c.parser.Begun() {
 		in.begun[c] = true
 	} else {
 		delete(in.begun, c)
 	}
 }
 
-// serve answers a request, or leaves it to be taken.
+// unreadable answers what can't be read.
+func (in *Intake) unreadable(c *client, err error) {
+	status := 400
+	var fault *http1.Fault
+	if errors.As(err, &fault) {
+		status = fault.Status
+	}
+	in.Refused.Unreadable++
+	in.giveUp(c, status)
+}
+
+// serve answers a request, or leaves it to be taken. A request that asks for it is the last on its connection.
 func (in *Intake) serve(c *client, m *http1.Message) {
-	c.closing = m.Close
+	a := in.expect(c)
+	if m.Close {
+		a.end, c.deaf = closesAtOnce, true
+	}
 	path, _, _ := strings.Cut(m.Path, "?")
 	switch {
 	case path == "/up" || path == "/counters":
-		status, body := 200, ""
-		if path == "/counters" {
-			body = in.pages()
-		} else if in.Leaving {
-			status = 503
-		}
-		if m.Method != "GET" {
-			status, body = 405, ""
-		}
 		m.Body.Free()
-		in.write(c, status, nil, body, in.Leaving || in.floods(c))
+		in.servePage(c, a, m.Method, path)
 	case m.Method != "POST":
 		m.Body.Free()
 		in.Refused.Malformed++
-		in.write(c, 405, nil, "", true)
+		in.refuse(c, a, 405)
 	case in.Leaving:
 		m.Body.Free()
 		in.Refused.Leaving++
-		in.write(c, 503, nil, "", true)
+		in.refuse(c, a, 503)
 	default:
 		r, status := in.request(m, path)
 		if status != 0 {
-			// What follows on the connection is not trusted either.
 			m.Body.Free()
-			in.write(c, status, nil, "", true)
+			in.refuse(c, a, status)
 			return
 		}
-		r.client, c.busy = c, true
+		r.client, r.answer, r.Since = c, a, c.behind
 		in.taken = append(in.taken, r)
 	}
 }
 
-// floods tells whether a client asks for pages on and on, more than it can be reading: each costs a sender more than
-// the client, which may never read any.
-func (in *Intake) floods(c *client) bool {
+// servePage answers a request for a page. A client that asks for many at once, more than it can be reading, gets no more of
+// them, and nothing more is read of it: each costs a sender more than the client.
+func (in *Intake) servePage(c *client, a *answer, method, path string) {
 	if c.pagesAt != in.now {
 		c.pages, c.pagesAt = 0, in.now
 	}
 	if c.pages++; c.pages == in.limits.Pages {
 		in.Refused.Flooding++
+		c.full, c.floods = true, true
+	}
+	end := goesOn
+	if in.Leaving || c.floods {
+		end = closesWhenQuiet
+	}
+	switch {
+	case method != "GET":
+		a.settle(405, end)
+	case c.pages > in.limits.Pages:
+		a.settle(429, end)
+	case path == "/counters":
+		a.body = in.pages()
+		a.settle(200, end)
+	case in.Leaving:
+		a.settle(503, end)
+	default:
+		a.settle(200, end)
 	}
-	return c.pages >= in.limits.Pages
 }
 
 // request reads a notice, or says with which status it is malformed.
@@ -250,108 +246,22 @@
 	return taken
 }
 
-// Answer writes the answer to a notice; what the client had sent on meanwhile is read then.
+// Answer writes the answer to a notice, behind those to what its client had sent before.
 func (in *Intake) Answer(r *Request, status int, retryAfter rules.Millis) {
 	c := r.client
 	if in.clients[c.conn] != c {
 		return // the client has gone
 	}
-	var fields []http1.Field
 	if retryAfter > 0 {
-		fields = append(fields, http1.Field{Name: "Retry-After",
+		r.answer.fields = append(r.answer.fields, http1.Field{Name: "Retry-After",
 			Value: strconv.FormatFloat(float64(retryAfter)/1000, 'f', 3, 64)})
 	}
-	c.busy = false
-	in.write(c, status, fields, "", in.Leaving)
-	if rest := c.waiting; len(rest) > 0 && in.clients[c.conn] == c {
-		c.waiting = nil
-		in.read(c, rest)
-	}
-}
-
-func (in *Intake) write(c *client, status int, fields []http1.Field, body string, closes bool) {
-	c.closing = c.closing || closes
-	c.served, c.since = true, in.now
-	in.out = http1.AppendAnswer(in.out[:0], status, fields, body, c.closing)
-	if c.conn.Write(in.out) != nil {
-		in.drop(c)
-	} else if c.closing {
-		c.conn.CloseWrite() // so that the answer is read; the rest follows when the client closes, or is swept
-	}
-}
-
-func (in *Intake) drop(c *client) {
-	in.forget(c)
-	c.conn.Close()
-}
-
-// dropQuiet ends a connection unless something has come on it that was not read yet: that may be a request, which is owed
-// its answer once it has been read.
-func (in *Intake) dropQuiet(c *client) bool {
-	quiet := c.conn.CloseQuiet()
-	if quiet {
-		in.forget(c)
-	}
-	return quiet
-}
-
-func (in *Intake) forget(c *client) {
-	c.parser.Free()
-	delete(in.clients, c.conn)
-	delete(in.begun, c)
-}
-
-// Sweep ends what has taken too long. A request that was never complete gets an answer first.
-func (in *Intake) Sweep(now time.Time) {
-	for _, c := range in.clients {
-		idle := now.Sub(c.since)
-		switch {
-		case c.busy:
-		case c.closing:
-			if idle > in.limits.Linger {
-				in.drop(c)
-			}
-		case c.parser.Begun():
-			if idle > in.limits.RequestTime || !c.served && now.Sub(c.born) > in.limits.FirstTime {
-				in.Refused.Late++
-				in.write(c, 408, nil, "", true)
-			}
-		case idle > in.limits.ClientIdle || in.Leaving && c.served:
-			if in.dropQuiet(c) && !c.served {
-				in.Refused.Silent++
-			}
-		}
-	}
-}
-
-// MakeRoom guards against clients that hold connections or memory for nothing: while there is too much of either, those
-// without a whole request that have been quiet for longest go. A usual client's request comes right behind its
-// connection.
-func (in *Intake) MakeRoom() {
-	over, held := len(in.clients)-in.limits.Crowd, -in.limits.Partial
-	if over <= 0 && len(in.begun) <= in.limits.Partial/(in.limits.Head+in.limits.Body+2*in.limits.Buffer) {
-		return // so few can't hold too much
-	}
-	for c := range in.begun {
-		held += c.parser.Held()
-	}
-	if over <= 0 && held <= 0 {
-		return
-	}
-	var quiet []*client
-	for _, c := range in.clients {
-		if !c.busy {
-			quiet = append(quiet, c)
-		}
-	}
-	slices.SortFunc(quiet, func(a, b *client) int { return a.since.Compare(b.since) })
-	for _, c := range quiet {
-		if mine := c.parser.Held(); (over > 0 || held > 0 && mine > 0) && in.dropQuiet(c) {
-			over--
-			held -= mine
-			in.Refused.Crowded++
-		}
+	end := goesOn
+	if in.Leaving {
+		end = closesWhenQuiet
 	}
+	r.answer.settle(status, end)
+	in.flush(c)
 }
 
 // At sets the time for what comes next.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,6 +23,7 @@
 	Disk   int64   // bytes of the ledger and its copy while it is rewritten
 
 	Buffer    int // size of every buffer
+	Window    int // bytes read of a client at a time, unless more is known to be missing of its request
 	Queued    int // bytes read from sockets and not yet seen by the loop
 	Head      int // bytes of a first line with its headers
 	Fields    int // headers of one message
@@ -34,7 +35,8 @@
 	Clients   int // connections from clients
 	Crowd     int // of these: from so many on the ones quiet for longest make room
 	Pages     int // asked for on one connection in one turn: with the last of these it ends
-	Discard   int // bytes read of a client after the last answer on its connection
+	Refused   int // requests refused on one connection: from so many on nothing more is read of it
+	Discard   int // bytes read of a client behind something that can't be read
 	Receivers int // connections to receivers
 
 	RequestTime  time.Duration // from a request's first byte to its last
@@ -80,6 +82,7 @@
 		Disk:   int64(m.DiskMB * 1e6 * 0.9),
 
 		Buffer:    8 << 10,
+		Window:    2 << 10,
 		Queued:    min(4, m.MemoryMB/16) * mb,
 		Head:      8 << 10,
 		Fields:    64,
@@ -87,6 +90,7 @@
 		List:      min(4, max(m.MemoryMB/16, 1)) * mb,
 		Discard:   256 << 10,
 		Pages:     4,
+		Refused:   512,
 		HeldBytes: m.MemoryMB * mb / 8,
 		Partial:   m.MemoryMB * mb / 16,
 
--- a/internal/loop/admission.go
+++ b/internal/loop/admission.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"time"
 
 	"chuteweir.example/chuteweir/internal/buffers"
 	"chuteweir.example/chuteweir/internal/intake"
@@ -40,11 +41,20 @@
 		l.notices[l.last] = &held{id: r.ID, mark: r.Mark, destination: r.Destination, takenAt: l.clock.Now(), body: r.Body, request: r}
 		taken = append(taken, l.last)
 		l.events = append(l.events, rules.NoticeTaken{Notice: l.last, Grade: r.Grade, Portfolio: r.Portfolio,
-			Key: r.Key, Destination: r.Destination, Left: r.Left, Waited: millis(l.arrivals.waited(l.now)), Inherited: r.Inherited, Room: l.room(r.Body)})
+			Key: r.Key, Destination: r.Destination, Left: r.Left, Waited: millis(l.waited(r)), Inherited: r.Inherited, Room: l.room(r.Body)})
 	}
 	return taken
 }
 
+// waited is how long a request may have waited to be read: as what came last, and before that behind others of its client.
+func (l *Loop) waited(r *intake.Request) time.Duration {
+	waited := l.arrivals.waited(l.now)
+	if !r.Since.IsZero() {
+		waited += l.now.Sub(r.Since)
+	}
+	return waited
+}
+
 // room is the share of what this sender can hold that a notice takes: of the memory for bodies or of the ledger, whichever
 // it takes more of.
 func (l *Loop) room(body *buffers.Chain) float64 {
@@ -72,7 +82,6 @@
 		return nil
 	}
 	ended := rules.Ends(actions)
-	waited := int64(math.Ceil(float64(millis(l.arrivals.waited(l.now)))))
 	for _, number := range taken {
 		n := l.notices[number]
 		r := n.request
@@ -87,7 +96,7 @@
 		err := l.ledger.Taken(ledger.Notice{Number: number, ID: r.ID, Mark: r.Mark,
 			Grade:     settings.Name(l.config.Names.Grades, int(r.Grade)),
 			Portfolio: settings.Name(l.config.Names.Portfolios, int(r.Portfolio)), Key: r.Key, Destination: r.Destination,
-			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: waited, Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
+			Until: l.now.Add(span(r.Left)), TakenAt: n.takenAt, WaitedMS: int64(math.Ceil(float64(millis(l.waited(r))))), Inherited: r.Inherited, Body: r.Body.AppendTo(nil)})
 		if err != nil {
 			l.withdraw(number, r)
 			continue
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -33,21 +33,30 @@
 	owner  Owner
 	nb     *nbio.Conn // set before Opened is told
 	fd     int        // of nb, set with it
+	client bool       // accepted, and so read only as far as its owner asks
+	most   int64      // bytes read at an event, of a dialled connection
 	cancel context.CancelFunc
-	opened bool         // these two are the gathering goroutine's
-	closed bool         // by its owner or from outside
-	wanted int64        // bytes handed to Write
-	left   atomic.Int64 // bytes that reached the kernel
-	untold atomic.Int32 // buffers that wait to be gathered
-
-	reading atomic.Bool // the poller may be between reading bytes and queueing them
-	sealed  atomic.Bool // the poller reads nothing more
+
+	opened   bool // these are the gathering goroutine's
+	closed   bool // by its owner or from outside
+	finishes bool // its sending side ends once all is written
+	resumes  int  // bytes to be read once all is written
+	wanted   int64
+
+	left     atomic.Int64 // bytes that reached the kernel
+	spilling atomic.Bool  // bytes wait to be written
+	untold   atomic.Int32 // buffers that wait to be gathered
+	window   atomic.Int64 // bytes that the poller may read at the next event of a client's connection
+	reading  atomic.Bool  // the poller may be between reading bytes and queueing them
+	sealed   atomic.Bool  // the poller reads nothing more
 }
 
 type event struct {
 	conn   *Conn
 	opened bool
-	data   *[]byte // nil: opened or closed
+	wrote  bool    // bytes that waited have left
+	data   *[]byte // nil: opened, wrote or closed
+	last   bool    // the poller reads no more of this connection for now
 	err    error
 }
 
@@ -69,18 +78,23 @@
 
 	sealed  atomic.Bool  // nothing more is read on any connection
 	reading atomic.Int32 // connections that the poller may be reading
-	unheard int          // the gathering goroutine's: see Unheard
+
+	unheard int            // these are the gathering goroutine's: see Unheard
+	spilled map[*Conn]bool // connections with bytes that wait to be written
 }
 
 // Start listens on an address; clients' connections belong to accepted.
 func Start(address string, l limits.Limits, pool *buffers.Pool, accepted Owner) (*Net, error) {
-	n := &Net{limits: l, pool: pool, ready: make(chan struct{}, 1), reuse: newReuseGuard()}
+	n := &Net{limits: l, pool: pool, ready: make(chan struct{}, 1), reuse: newReuseGuard(),
+		spilled: map[*Conn]bool{}}
 	n.room = sync.NewCond(&n.mu)
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = l.Clients + l.Receivers + 1024
 	n.engine = nbio.NewEngine(nbio.Config{
 		Network: nbio.NETWORK_TCP, Addrs: []string{address}, NPoller: 1,
 		ReadBufferSize: l.Buffer, MaxWriteBufferSize: l.List,
+		// An event is told once and then not again until it is asked for: what is not read yet waits in the kernel.
+		EpollMod: nbio.EPOLLET, EPOLLONESHOT: nbio.EPOLLONESHOT,
 		Listen: func(network, addr string) (net.Listener, error) {
 			config := net.ListenConfig{KeepAlive: -1}
 			listener, err := config.Listen(context.Background(), network, addr)
@@ -92,6 +106,7 @@
 		switch session := n.session(nb).(type) {
 		case *reuseGuard:
 			session.woken()
+			nb.ResetPollerEvent()
 		case *Conn:
 			n.read(session)
 		}
@@ -102,7 +117,11 @@
 		}
 	})
 	n.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, size int) {
-		nb.Session().(*Conn).left.Add(int64(size))
+		c := nb.Session().(*Conn)
+		c.left.Add(int64(size))
+		if c.spilling.Load() {
+			n.put(event{conn: c, wrote: true})
+		}
 	})
 	n.engine.OnAcceptError(func(error) { time.Sleep(10 * time.Millisecond) })
 	if err := n.engine.Start(); err != nil {
@@ -129,7 +148,8 @@
 	n.mu.Lock()
 	n.clients++
 	n.mu.Unlock()
-	c := &Conn{net: n, owner: accepted, nb: nb, fd: fd}
+	c := &Conn{net: n, owner: accepted, nb: nb, fd: fd, client: true}
+	c.window.Store(int64(n.limits.Window))
 	nb.SetSession(c)
 	n.put(event{conn: c, opened: true})
 }
@@ -153,32 +173,50 @@
 	return nb.Session()
 }
 
-// readsPerEvent is how many buffers are read from a connection before the poller turns to the others.
-const readsPerEvent = 3
-
-// read takes what has come on a connection, on the poller's goroutine.
+// read takes what has come on a connection, on the poller's goroutine. Of a client's connection it takes no more than the
+// owner has asked for, and the owner asks again. Of others it takes as much as an answer can hold: their other side may have
+// closed them behind it, which nbio acts on at once.
 func (n *Net) read(c *Conn) {
-	defer n.endRead(c)
 	if !n.beginRead(c) {
+		n.endRead(c)
 		return
 	}
-	for range readsPerEvent {
+	budget := c.most
+	if c.client {
+		budget = c.window.Swap(0)
+	}
+	told := false
+	for budget > 0 {
 		buffer := n.pool.Get()
-		size := cap(*buffer)
+		size := min(cap(*buffer), int(budget))
 		count, err := readInto(c.nb, (*buffer)[:size])
 		if count <= 0 {
 			n.pool.Put(buffer)
+			n.endRead(c)
 			if !errors.Is(err, syscall.EAGAIN) {
 				c.nb.CloseWithError(cmp.Or(err, io.EOF))
+				return
+			}
+			if !told || !c.client {
+				c.window.Store(budget)
+				c.arm()
 			}
 			return
 		}
 		*buffer = (*buffer)[:count]
-		n.put(event{conn: c, data: buffer})
-		if count < size {
-			return
+		budget -= int64(count)
+		last := count < size || budget == 0
+		n.put(event{conn: c, data: buffer, last: last})
+		if told = true; last {
+			break
 		}
 	}
+	if !told {
+		n.endRead(c)
+	}
+	if !c.client {
+		c.arm()
+	}
 }
 
 // readInto reads without waiting. No bytes and no error are the stream's end.
@@ -248,6 +286,9 @@
 	if e.data != nil {
 		n.queued += cap(*e.data)
 		e.conn.untold.Add(1)
+		if e.last {
+			n.endRead(e.conn)
+		}
 	}
 	n.queue = append(n.queue, e)
 	n.mu.Unlock()
@@ -269,6 +310,9 @@
 	n.mu.Unlock()
 	for _, e := range events {
 		c := e.conn
+		if e.data != nil {
+			c.untold.Add(-1)
+		}
 		switch {
 		case e.opened && c.closed:
 			c.shut() // its owner gave up while it came up
@@ -281,23 +325,46 @@
 			c.owner.Opened(c)
 		case e.data != nil:
 			c.owner.Data(c, *e.data)
+		case e.wrote: // told below
 		default:
 			c.closed = true
 			c.owner.Closed(c, e.err)
 		}
 		if e.data != nil {
-			c.untold.Add(-1)
 			n.pool.Put(e.data)
 		}
 	}
 	clear(events)
 	n.spare = events
+	for c := range n.spilled {
+		n.writeOn(c)
+	}
+}
+
+// writeOn goes on with a connection whose bytes waited to be written. nbio asks for no further event where it could write only
+// a part.
+func (n *Net) writeOn(c *Conn) {
+	if !c.closed && !c.Written() {
+		c.arm()
+		return
+	}
+	delete(n.spilled, c)
+	c.spilling.Store(false)
+	if c.closed {
+		return
+	}
+	if c.finishes {
+		c.CloseWrite()
+	}
+	if c.resumes > 0 {
+		c.Resume(c.resumes)
+	}
 }
 
-// Dial begins a connection; its owner hears Opened or Closed.
-func (n *Net) Dial(address string, timeout time.Duration, owner Owner) *Conn {
+// Dial begins a connection on which answers hold at most so many bytes; its owner hears Opened or Closed.
+func (n *Net) Dial(address string, timeout time.Duration, most int, owner Owner) *Conn {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	c := &Conn{net: n, owner: owner, cancel: cancel}
+	c := &Conn{net: n, owner: owner, cancel: cancel, most: int64(most)}
 	go func() {
 		defer cancel()
 		dialer := net.Dialer{KeepAlive: -1}
@@ -331,15 +398,48 @@
 		_, err = c.nb.Write(b) // which closes the connection when it fails or too much waits to be written
 		return err != nil
 	})
+	if err == nil && !c.Written() {
+		c.spilling.Store(true)
+		c.net.spilled[c] = true
+	}
 	return err
 }
 
+// Resume lets the poller read up to so many bytes more of a client's connection, once all that was written on it has left: a
+// client that does not take its answers is not read on. With 0 only the connection's end is heard.
+func (c *Conn) Resume(bytes int) {
+	if c.closed {
+		return
+	}
+	if c.resumes = 0; !c.Written() {
+		c.resumes = bytes
+		return
+	}
+	c.window.Store(int64(bytes))
+	c.arm()
+}
+
+// arm asks for the connection's next event.
+func (c *Conn) arm() {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if gone, _ := c.nb.IsClosed(); !gone {
+		c.nb.ResetPollerEvent()
+	}
+}
+
+// Queued reports whether bytes that were read wait to be told to the owner.
+func (c *Conn) Queued() bool { return c.untold.Load() > 0 }
+
+// told reports whether the owner was told all that was read.
+func (c *Conn) told() bool { return !c.reading.Load() && !c.Queued() }
+
 // Written tells whether all bytes have left for the kernel.
 func (c *Conn) Written() bool { return c.left.Load() >= c.wanted }
 
 // Quiet tells whether nothing has come on a connection that its owner was not told yet: neither bytes nor an end.
 func (c *Conn) Quiet() bool {
-	if c.untold.Load() > 0 {
+	if !c.told() {
 		return false
 	}
 	quiet := false
@@ -365,11 +465,13 @@
 	quiet := false
 	c.descriptor(func(fd int) {
 		c.sealed.Store(true)
-		quiet = !c.reading.Load() && c.untold.Load() == 0 && nothingUnread(fd)
+		quiet = c.told() && nothingUnread(fd)
 		c.sealed.Store(quiet)
 	})
 	if quiet {
 		c.Close()
+	} else {
+		c.arm() // the poller may have passed over an event meanwhile
 	}
 	return quiet
 }
@@ -408,8 +510,13 @@
 	})
 }
 
-// CloseWrite ends the sending side, so that the peer can read what was written before.
-func (c *Conn) CloseWrite() { c.descriptor(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) }) }
+// CloseWrite ends the sending side once all that was written has left, so that the peer can read it.
+func (c *Conn) CloseWrite() {
+	if c.finishes = !c.Written(); c.finishes {
+		return
+	}
+	c.descriptor(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) })
+}
 
 // Stop ends everything.
 func (n *Net) Stop() {
