--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,14 +3,10 @@
 package sockets
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"chuteweir.example/chuteweir/internal/buffers"
@@ -27,30 +23,6 @@
 	Closed(c *Conn, err error)
 }
 
-// Conn is one connection.
-type Conn struct {
-	net    *Net
-	owner  Owner
-	nb     *nbio.Conn // set before Opened is told
-	fd     int        // of nb, set with it
-	client bool       // accepted, and so read only as far as its owner asks
-	most   int64      // bytes read at an event, of a dialled connection
-	cancel context.CancelFunc
-
-	opened   bool // these are the gathering goroutine's
-	closed   bool // by its owner or from outside
-	finishes bool // its sending side ends once all is written
-	resumes  int  // bytes to be read once all is written
-	wanted   int64
-
-	left     atomic.Int64 // bytes that reached the kernel
-	spilling atomic.Bool  // bytes wait to be written
-	untold   atomic.Int32 // buffers that wait to be gathered
-	window   atomic.Int64 // bytes that the poller may read at the next event of a client's connection
-	reading  atomic.Bool  // the poller may be between reading bytes and queueing them
-	sealed   atomic.Bool  // the poller reads nothing more
-}
-
 type event struct {
 	conn   *Conn
 	opened bool
@@ -173,95 +145,6 @@
 	return nb.Session()
 }
 
-// read takes what has come on a connection, on the poller's goroutine. Of a client's connection it takes no more than the
-// owner has asked for, and the owner asks again. Of others it takes as much as an answer can hold: their other side may have
-// closed them behind it, which nbio acts on at once.
-func (n *Net) read(c *Conn) {
-	if !n.beginRead(c) {
-		n.endRead(c)
-		return
-	}
-	budget := c.most
-	if c.client {
-		budget = c.window.Swap(0)
-	}
-	told := false
-	for budget > 0 {
-		buffer := n.pool.Get()
-		size := min(cap(*buffer), int(budget))
-		count, err := readInto(c.nb, (*buffer)[:size])
-		if count <= 0 {
-			n.pool.Put(buffer)
-			n.endRead(c)
-			if !errors.Is(err, syscall.EAGAIN) {
-				c.nb.CloseWithError(cmp.Or(err, io.EOF))
-				return
-			}
-			if !told || !c.client {
-				c.window.Store(budget)
-				c.arm()
-			}
-			return
-		}
-		*buffer = (*buffer)[:count]
-		budget -= int64(count)
-		last := count < size || budget == 0
-		n.put(event{conn: c, data: buffer, last: last})
-		if told = true; last {
-			break
-		}
-	}
-	if !told {
-		n.endRead(c)
-	}
-	if !c.client {
-		c.arm()
-	}
-}
-
-// readInto reads without waiting. No bytes and no error are the stream's end.
-func readInto(nb *nbio.Conn, b []byte) (int, error) {
-	for {
-		count, err := nb.Read(b)
-		if !errors.Is(err, syscall.EINTR) {
-			return count, err
-		}
-	}
-}
-
-// beginRead tells whether the poller may read a connection. Whoever seals one sets sealed before looking at reading, and the
-// poller sets reading before looking at sealed: at least one of them sees the other.
-func (n *Net) beginRead(c *Conn) bool {
-	n.reading.Add(1)
-	c.reading.Store(true)
-	return !c.sealed.Load() && !n.sealed.Load()
-}
-
-func (n *Net) endRead(c *Conn) {
-	c.reading.Store(false)
-	n.reading.Add(-1)
-}
-
-// Seal ends all reading, once what was read is told to the owners. What comes from then on stays in the kernel, which
-// resets the connections at their end, so that the other side knows that it was not read.
-func (n *Net) Seal() {
-	n.sealed.Store(true)
-	for {
-		reading := n.reading.Load() > 0
-		n.Gather()
-		if !reading {
-			return
-		}
-		time.Sleep(sealStep)
-	}
-}
-
-// sealStep is how long Seal waits for the poller before it looks again.
-const sealStep = 100 * time.Microsecond
-
-// Unheard is the number of buffers that were read and never told, since their owner had closed the connection.
-func (n *Net) Unheard() int { return n.unheard }
-
 // capped lets connections wait in the kernel while there are too many: their owner makes room.
 type capped struct {
 	net.Listener
@@ -361,163 +244,6 @@
 	}
 }
 
-// Dial begins a connection on which answers hold at most so many bytes; its owner hears Opened or Closed.
-func (n *Net) Dial(address string, timeout time.Duration, most int, owner Owner) *Conn {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	c := &Conn{net: n, owner: owner, cancel: cancel, most: int64(most)}
-	go func() {
-		defer cancel()
-		dialer := net.Dialer{KeepAlive: -1}
-		plain, err := dialer.DialContext(ctx, "tcp", address)
-		if err != nil {
-			n.put(event{conn: c, err: err})
-			return
-		}
-		nb, err := nbio.NBConn(plain)
-		if err != nil {
-			plain.Close()
-			n.put(event{conn: c, err: err})
-			return
-		}
-		n.mu.Lock()
-		c.nb = nb
-		nb.SetSession(c)
-		n.mu.Unlock()
-		// The opening is told once the poller knows the connection: no close by its owner can come before.
-		_, err = n.engine.AddConn(nb)
-		n.put(event{conn: c, opened: err == nil, err: err})
-	}()
-	return c
-}
-
-// Write sends bytes without waiting. An error is told by Closed, too.
-func (c *Conn) Write(b []byte) error {
-	c.wanted += int64(len(b))
-	var err error
-	c.net.reuse.closing(c.fd, func() bool {
-		_, err = c.nb.Write(b) // which closes the connection when it fails or too much waits to be written
-		return err != nil
-	})
-	if err == nil && !c.Written() {
-		c.spilling.Store(true)
-		c.net.spilled[c] = true
-	}
-	return err
-}
-
-// Resume lets the poller read up to so many bytes more of a client's connection, once all that was written on it has left: a
-// client that does not take its answers is not read on. With 0 only the connection's end is heard.
-func (c *Conn) Resume(bytes int) {
-	if c.closed {
-		return
-	}
-	if c.resumes = 0; !c.Written() {
-		c.resumes = bytes
-		return
-	}
-	c.window.Store(int64(bytes))
-	c.arm()
-}
-
-// arm asks for the connection's next event.
-func (c *Conn) arm() {
-	c.nb.Lock()
-	defer c.nb.Unlock()
-	if gone, _ := c.nb.IsClosed(); !gone {
-		c.nb.ResetPollerEvent()
-	}
-}
-
-// Queued reports whether bytes that were read wait to be told to the owner.
-func (c *Conn) Queued() bool { return c.untold.Load() > 0 }
-
-// told reports whether the owner was told all that was read.
-func (c *Conn) told() bool { return !c.reading.Load() && !c.Queued() }
-
-// Written tells whether all bytes have left for the kernel.
-func (c *Conn) Written() bool { return c.left.Load() >= c.wanted }
-
-// Quiet tells whether nothing has come on a connection that its owner was not told yet: neither bytes nor an end.
-func (c *Conn) Quiet() bool {
-	if !c.told() {
-		return false
-	}
-	quiet := false
-	c.descriptor(func(fd int) { quiet = nothingUnread(fd) })
-	return quiet
-}
-
-func nothingUnread(fd int) bool {
-	for {
-		_, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err != syscall.EINTR {
-			return err == syscall.EAGAIN
-		}
-	}
-}
-
-// CloseQuiet ends a connection unless bytes have been read from it, or lie in the kernel, that its owner was not told:
-// then it stays open, and its owner hears of them. Bytes that come later are never read.
-func (c *Conn) CloseQuiet() bool {
-	if c.closed {
-		return true
-	}
-	quiet := false
-	c.descriptor(func(fd int) {
-		c.sealed.Store(true)
-		quiet = c.told() && nothingUnread(fd)
-		c.sealed.Store(quiet)
-	})
-	if quiet {
-		c.Close()
-	} else {
-		c.arm() // the poller may have passed over an event meanwhile
-	}
-	return quiet
-}
-
-// descriptor hands out the connection's descriptor while it is sure to be its own.
-func (c *Conn) descriptor(use func(fd int)) {
-	c.nb.Lock()
-	defer c.nb.Unlock()
-	if gone, _ := c.nb.IsClosed(); gone {
-		return
-	}
-	if raw, err := c.nb.SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) { use(int(fd)) })
-	}
-}
-
-// Close ends a connection; its owner hears no more of it.
-func (c *Conn) Close() {
-	if c.closed {
-		return
-	}
-	c.closed = true
-	if c.cancel != nil {
-		c.cancel()
-	}
-	if c.opened { // else it is closed when its opening is gathered
-		c.shut()
-	}
-}
-
-// shut closes the descriptor, whose number is then kept from new connections for as long as the poller may hold its events.
-func (c *Conn) shut() {
-	c.net.reuse.closing(c.fd, func() bool {
-		c.nb.Close()
-		return true
-	})
-}
-
-// CloseWrite ends the sending side once all that was written has left, so that the peer can read it.
-func (c *Conn) CloseWrite() {
-	if c.finishes = !c.Written(); c.finishes {
-		return
-	}
-	c.descriptor(func(fd int) { syscall.Shutdown(fd, syscall.SHUT_WR) })
-}
-
 // Stop ends everything.
 func (n *Net) Stop() {
 	n.mu.Lock()
