Room for a client's owed answers is used again; known red: clients that only end their sending side

Cause: the list of owed answers lost its room with each one written, an allocation for each request.

Change: answers are taken off the front in place.

--- a/cmd/chuteweir/bursts_test.go
+++ b/cmd/chuteweir/bursts_test.go
@@ -119,3 +119,24 @@
 		w.sender.Wait()
 	}
 }
+
+// Guards against a client that ends its sending side behind its request, and reads on, being taken for one that has gone.
+func TestClientThatOnlyEndsItsSendingSideIsAnswered(t *testing.T) {
+	w := beginWide(t)
+	unanswered := 0
+	for i := range 20 {
+		c, err := net.Dial("tcp", w.listen)
+		w.must(err)
+		io.WriteString(c, post("note", fmt.Sprintf("half-%d", i), 12000, 1, "body"))
+		w.must(c.(*net.TCPConn).CloseWrite())
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			unanswered++
+		}
+		c.Close()
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of 20 requests got no answer", unanswered)
+	}
+	w.leave()
+}
--- a/internal/intake/clients.go
+++ b/internal/intake/clients.go
@@ -67,7 +67,7 @@
 	out := in.out[:0]
 	for len(c.answers) > 0 && c.answers[0].settled && !c.closing {
 		a := c.answers[0]
-		c.answers = c.answers[1:]
+		c.answers = slices.Delete(c.answers, 0, 1) // which keeps its room
 		c.closing = a.end == closesAtOnce || (a.end == closesWhenQuiet || c.full) && in.nothingBehind(c)
 		out = http1.AppendAnswer(out, a.status, a.fields, a.body, c.closing)
 	}
