--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -107,16 +107,22 @@
 	return false
 }
 
-// Guards against memory that grows with what clients send at once.
-func TestClientIsReadOnlyAsFarAsItsOwnerAsks(t *testing.T) {
-	o := &collector{reads: func(*Conn) {}}
-	n := startCollecting(t, o)
+// sendMuch plays a client that sends 1 MiB at once.
+func sendMuch(t *testing.T, n *Net) net.Conn {
 	client, err := net.Dial("tcp", n.engine.Addrs[0])
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
+	t.Cleanup(func() { client.Close() })
 	go client.Write(make([]byte, 1<<20))
+	return client
+}
+
+// Guards against memory that grows with what clients send at once.
+func TestClientIsReadOnlyAsFarAsItsOwnerAsks(t *testing.T) {
+	o := &collector{reads: func(*Conn) {}}
+	n := startCollecting(t, o)
+	sendMuch(t, n)
 	never := func() bool { return false }
 	if gatherUntil(n, never); o.told != n.limits.Window {
 		t.Fatalf("%d bytes were read of a client of which %d may be", o.told, n.limits.Window)
@@ -133,12 +139,7 @@
 	o := &collector{}
 	o.reads = func(c *Conn) { c.Write(make([]byte, answer)); c.Resume(request) }
 	n := startCollecting(t, o)
-	client, err := net.Dial("tcp", n.engine.Addrs[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	go client.Write(make([]byte, 1<<20))
+	client := sendMuch(t, n)
 	gatherUntil(n, func() bool { return false })
 	if held := o.conn.wanted - o.conn.left.Load(); held > answer || o.ended {
 		t.Fatalf("%d bytes wait to be written, ended: %v", held, o.ended)
