--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chuteweir.example/chuteweir/internal/http1"
+	"chuteweir.example/chuteweir/internal/logs"
 	"chuteweir.example/chuteweir/internal/sockets"
 	"chuteweir.example/chuteweir/rules"
 )
@@ -19,7 +20,11 @@
 	if l == nil {
 		return
 	}
+	now := time.Now()
+	quiet := l.quiet(now)
+	l.heard = now
 	if l.call != nil && !l.call.written {
+		p.unasked(l, quiet, b)
 		c := l.call
 		p.drop(l, "said something before its first call")
 		p.end(c, rules.NotConnected)
@@ -31,6 +36,7 @@
 	}
 	if l.call == nil && !l.rest {
 		p.Stale++
+		p.unasked(l, quiet, b)
 		p.drop(l, "said something unasked")
 		return
 	}
@@ -39,6 +45,9 @@
 	case err != nil:
 		p.connectionFailed(l, "answer spoilt: "+err.Error())
 	case done:
+		if len(rest) > 0 {
+			p.unasked(l, 0, rest)
+		}
 		p.answered(l, l.parser.Take(), len(rest) > 0)
 	case l.call != nil && l.parser.HeadRead() && l.parser.Status() == 200:
 		// All that counts has come. A body that goes on and on must not hold the call up.
@@ -49,6 +58,16 @@
 	}
 }
 
+// unaskedShown is how many bytes of what came unasked the log shows.
+const unaskedShown = 16
+
+// unasked notes that a connection said something that no call had asked for, after it was quiet for a while.
+func (p *Pool) unasked(l *connection, quiet time.Duration, b []byte) {
+	p.Unasked++
+	p.log.Warn(logs.Unasked, "connection", l.number, "receiver", l.receiver, "last", l.last, "carried", l.carried, "quiet", quiet,
+		"bytes", len(b), "begins", string(b[:min(len(b), unaskedShown)]))
+}
+
 // hearWait tells a wait as soon as it has been read: the answer's end may come late or never.
 func (p *Pool) hearWait(l *connection) {
 	told := retryAfter(l.parser.Message(), p.now)
@@ -84,6 +103,10 @@
 // answered ends a call with its answer, and keeps the connection if nothing speaks against it.
 func (p *Pool) answered(l *connection, m *http1.Message, more bool) {
 	m.Body.Free()
+	if p.tracing {
+		p.log.Debug(logs.Answered, "connection", l.number, "notice", l.notice(), "receiver", l.receiver, "status", m.Status,
+			"after", time.Since(l.wrote), "behind", more)
+	}
 	if more && !m.Close {
 		p.Beyond++
 	}
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -41,15 +41,19 @@
 // connection is one connection to a receiver.
 type connection struct {
 	conn     *sockets.Conn
+	number   uint64 // of those that the pool made
 	parser   *http1.Parser
 	receiver rules.ReceiverID
 	up       bool
-	used     bool  // it has carried a call
-	call     *Call // nil: idle, or reading what is left of an answer
-	rest     bool  // the answer's head was enough, its body is still to come
-	gone     bool  // its receiver is listed no more
-	givenUp  bool  // its call was given up: nothing more is sent, and only a wait is still heard
+	carried  int            // calls that were written
+	last     rules.NoticeID // of the last of them
+	call     *Call          // nil: idle, or reading what is left of an answer
+	rest     bool           // the answer's head was enough, its body is still to come
+	gone     bool           // its receiver is listed no more
+	givenUp  bool           // its call was given up: nothing more is sent, and only a wait is still heard
 	since    time.Time
+	wrote    time.Time // when the last call was written
+	heard    time.Time // when the last bytes were heard
 	// waitUntil is the end of the wait that the answer being read has told; zero: none.
 	waitUntil time.Time
 }
@@ -68,6 +72,7 @@
 	byDestination map[rules.DestinationID][]*Call // those out, by destination
 	deadlines     byDeadline                      // those out, the first to time out in front
 	connections   map[*sockets.Conn]*connection
+	made          uint64                             // connections
 	idle          map[rules.ReceiverID][]*connection // the one used last at the end
 	ended         []rules.TripEnded
 	up            []rules.ConnectionUp
@@ -77,9 +82,10 @@
 	// lagged says that the process may have stood still since connections were last heard: answers may wait unread.
 	lagged bool
 
-	Spoilt int // answers that could not be used
-	Beyond int // good answers with more bytes behind them
-	Stale  int // idle connections not used, as they had ended or said something unasked
+	Spoilt  int // answers that could not be used
+	Beyond  int // good answers with more bytes behind them
+	Stale   int // idle connections not used, as they had ended or said something unasked
+	Unasked int // connections that said something unasked, or more than an answer
 }
 
 // New makes a pool. report names the values of a load report in the decisions' order; before is asked just
@@ -139,11 +145,12 @@
 		p.end(c, rules.Short)
 		return
 	}
-	l := &connection{receiver: c.Receiver, call: c, since: p.now,
+	p.made++
+	l := &connection{number: p.made, receiver: c.Receiver, call: c, since: p.now,
 		parser: http1.NewParser(p.buffers, true, p.limits.Head, p.limits.Fields, p.limits.Body)}
 	c.connection = l
 	if p.tracing {
-		p.log.Debug(logs.Connecting, "notice", c.Notice, "receiver", c.Receiver, "address", c.Address)
+		p.log.Debug(logs.Connecting, "connection", l.number, "notice", c.Notice, "receiver", c.Receiver, "address", c.Address)
 	}
 	l.conn = p.net.Dial(c.Address, p.limits.ConnectTime, p.limits.Head+p.limits.Body, p)
 	p.connections[l.conn] = l
@@ -216,10 +223,11 @@
 		return
 	}
 	if p.tracing {
-		p.log.Debug(logs.Written, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver, "begun_ago", p.now.Sub(c.Begun),
-			"fresh", !l.used)
+		p.log.Debug(logs.Written, "connection", l.number, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver,
+			"begun_ago", p.now.Sub(c.Begun), "fresh", l.carried == 0, "carried", l.carried, "rested", l.quiet(time.Now()))
 	}
-	l.used = true
+	l.carried++
+	l.last = c.Notice
 	wait := max(c.TimeOut-p.now.Sub(c.Begun), time.Millisecond)
 	fields := []http1.Field{
 		{Name: "Request-Id", Value: c.ID},
@@ -232,7 +240,7 @@
 	c.written, l.waitUntil = true, time.Time{}
 	// An error is told by Closed, which knows from what was written whether the call can have run.
 	l.conn.Write(c.Body.AppendTo(p.bytes))
-	l.since = p.now
+	l.since, l.wrote = p.now, time.Now()
 }
 
 func (p *Pool) end(c *Call, result rules.Result) { p.finish(c, rules.TripEnded{Result: result}) }
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -4,6 +4,7 @@
 	"errors"
 	"slices"
 	"syscall"
+	"time"
 
 	"chuteweir.example/chuteweir/internal/logs"
 	"chuteweir.example/chuteweir/internal/sockets"
@@ -49,7 +50,8 @@
 	}
 	l.up = true
 	if p.tracing {
-		p.log.Debug(logs.Connected, "notice", l.notice(), "receiver", l.receiver, "took", p.now.Sub(l.since))
+		p.log.Debug(logs.Connected, "connection", l.number, "notice", l.notice(), "receiver", l.receiver, "local", conn.Local(),
+			"took", p.now.Sub(l.since))
 	}
 	p.up = append(p.up, rules.ConnectionUp{Notice: l.call.Notice})
 }
@@ -139,6 +141,14 @@
 	}
 }
 
+// quiet is how long nothing has been heard on a connection; 0 if nothing ever was.
+func (l *connection) quiet(now time.Time) time.Duration {
+	if l.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(l.heard)
+}
+
 // notice is the notice of the call that a connection carries, or 0.
 func (l *connection) notice() rules.NoticeID {
 	if l.call == nil {
@@ -149,7 +159,7 @@
 
 func (p *Pool) drop(l *connection, why string) {
 	if p.tracing {
-		p.log.Debug(logs.Disconnected, "notice", l.notice(), "receiver", l.receiver, "why", why, "connected", l.up)
+		p.log.Debug(logs.Disconnected, "connection", l.number, "notice", l.notice(), "receiver", l.receiver, "why", why, "connected", l.up)
 	}
 	l.conn.Close()
 	l.parser.Free()
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -37,6 +37,8 @@
 	Disconnected  = "disconnected"
 	Written       = "written"
 	WaitTold      = "wait_told"
+	Answered      = "answered"
+	Unasked       = "unasked"
 )
 
 // Event is one kind of line.
@@ -68,10 +70,12 @@
 	{Restored, "debug", []string{"id", "notice", "trips", "may_have_run", "left"}, false, "a notice that an earlier process owed goes back to the decisions, with the time that it has `left`"},
 	{Refused, "debug", []string{"id", "status"}, false, "a notice was turned away with this status"},
 	{Trip, "debug", []string{"id", "notice", "receiver", "address", "time_out"}, false, "a trip was begun"},
-	{Connecting, "debug", []string{"notice", "receiver", "address"}, false, "a connection to a receiver was begun for a call"},
-	{Connected, "debug", []string{"notice", "receiver", "took"}, false, "a connection to a receiver came up"},
-	{Written, "debug", []string{"id", "notice", "receiver", "begun_ago", "fresh"}, false, "a call was written; `fresh`: on a connection that carried none before"},
-	{Disconnected, "debug", []string{"notice", "receiver", "why", "connected"}, false, "a connection to a receiver ended, with the call that it carried or 0; `why` also tells who ended it"},
+	{Connecting, "debug", []string{"connection", "notice", "receiver", "address"}, false, "a connection to a receiver was begun for a call; `connection` is its number in this process"},
+	{Connected, "debug", []string{"connection", "notice", "receiver", "local", "took"}, false, "a connection to a receiver came up; `local` is its address at this end"},
+	{Written, "debug", []string{"connection", "id", "notice", "receiver", "begun_ago", "fresh", "carried", "rested"}, false, "a call was written; `fresh`: on a connection that carried none before; else it had carried so many, and `rested` since the last byte was heard on it"},
+	{Disconnected, "debug", []string{"connection", "notice", "receiver", "why", "connected"}, false, "a connection to a receiver ended, with the call that it carried or 0; `why` also tells who ended it"},
+	{Answered, "debug", []string{"connection", "notice", "receiver", "status", "after", "behind"}, false, "an answer was read whole, so long `after` its call was written, whether bytes came `behind` it"},
+	{Unasked, "warn", []string{"connection", "receiver", "last", "carried", "quiet", "bytes", "begins"}, true, "a receiver sent what no call had asked for, on a connection that had carried so many calls, the notice of the `last` of them, and had been `quiet` for so long; such bytes may belong to another call than the one that they would be booked on"},
 	{WaitTold, "debug", []string{"receiver", "wait"}, false, "a receiver told to wait by an answer whose end has not come; waits told by whole answers stand in `outcome`"},
 	{Outcome, "debug", []string{"id", "notice", "receiver", "result", "spent", "wait"}, false, "a trip came to its end"},
 	{Ended, "debug", []string{"id", "notice", "outcome", "retry_in_ms"}, false, "a notice has its final answer, other than by being handled"},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -384,6 +384,6 @@
 	c.Out, c.Held = l.calls.Out(), len(l.notices)
 	c.Refused = c.Unreadable + c.Unknown + c.Malformed + c.Late + c.Leaving + c.Repeated + c.NoRoom
 	c.BrokenAnswers, c.Unheard = l.directory.Broken, l.net.Unheard()
-	c.Spoilt, c.Beyond, c.Stale = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale
+	c.Spoilt, c.Beyond, c.Stale, c.Unasked = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale, l.calls.Unasked
 	return c
 }
--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -65,6 +65,9 @@
 	return c
 }
 
+// Local is the connection's address at this end, once it has come up.
+func (c *Conn) Local() string { return c.nb.LocalAddr().String() }
+
 // Write sends bytes without waiting. An error is told by Closed, too.
 func (c *Conn) Write(b []byte) error {
 	c.wanted += int64(len(b))
