--- a/cmd/chuteweir/exchanges_test.go
+++ b/cmd/chuteweir/exchanges_test.go
@@ -35,15 +35,15 @@
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), headers)
 }
 
-// scriptedDestinations is how many destinations have a scripted receiver; their numbers begin with firstScripted.
+// firstScripted is the number of the first destination that has a scripted receiver, and fewScripted how many have one as a rule.
 const (
-	scriptedDestinations = 8
-	firstScripted        = 11
+	firstScripted = 11
+	fewScripted   = 8
 )
 
-// listenScripted gives each scripted destination a receiver with a script. A connection ends when the script returns false.
-func (w *world) listenScripted(script func(receivedCall) bool) {
-	for i := range scriptedDestinations {
+// listenScripted gives each of some destinations a receiver with a script. A connection ends when the script returns false.
+func (w *world) listenScripted(destinations int, script func(receivedCall) bool) {
+	for i := range destinations {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		w.must(err)
 		w.t.Cleanup(func() { listener.Close() })
@@ -117,9 +117,9 @@
 	f.messages[id].delivered = true
 }
 
-// handInMany hands messages in, so often in the mean, most of them for few destinations and two of five of a grade that must not
-// run twice, and waits until their time is over.
-func (w *world) handInMany(f *fates, every time.Duration) {
+// handInMany hands messages in, so often in the mean, most of them for few of the destinations and two of five of a grade that must
+// not run twice, and waits until their time is over.
+func (w *world) handInMany(f *fates, destinations int, every time.Duration) {
 	var all sync.WaitGroup
 	draw := rand.New(rand.NewPCG(37, 37))
 	end := time.Now().Add(played)
@@ -131,7 +131,7 @@
 		f.mu.Lock()
 		f.messages[id] = &fate{once: grade == "order"}
 		f.mu.Unlock()
-		destination := firstScripted + int(scriptedDestinations*math.Pow(draw.Float64(), 2))
+		destination := firstScripted + int(float64(destinations)*math.Pow(draw.Float64(), 2))
 		all.Go(func() {
 			taken := w.speakRaw(post(grade, id, int(lasting.Milliseconds()), destination, "body")) == "202 Accepted"
 			f.mu.Lock()
@@ -260,14 +260,82 @@
 			t.Parallel()
 			w := begin(t, "slots = 8", "slots = "+plan.slots, "hold = 50", "hold = 200")
 			f := &fates{messages: map[string]*fate{}}
-			w.listenScripted(copyingReceiver(f, plan))
+			w.listenScripted(fewScripted, copyingReceiver(f, plan))
 			end := func() {}
 			if plan.stops {
 				end = w.holdUp()
 			}
-			w.handInMany(f, 12*ms)
+			w.handInMany(f, fewScripted, 12*ms)
 			end()
 			w.checkFates(f)
 		})
 	}
 }
+
+// latePlan is how receivers write, once on each connection, what may be booked on a call that comes late on it.
+type latePlan struct {
+	first  int           // the answer to the calls before
+	copied int           // what is written while the late call is out; 0: nothing
+	cut    bool          // half of it only
+	status int           // the answer to the late call
+	takes  time.Duration // that call
+}
+
+// lateReceiver plays a plan: what it writes unasked comes after a receiver has the next call, however late that is.
+func lateReceiver(f *fates, plan latePlan) func(receivedCall) bool {
+	var mu sync.Mutex
+	firsts := map[string]bool{}
+	return func(c receivedCall) bool {
+		if c.number != 2 {
+			mu.Lock()
+			status := http.StatusOK
+			if receiver := c.conn.LocalAddr().String(); c.number == 1 && !firsts[receiver] {
+				firsts[receiver] = true
+				status = plan.first
+			}
+			mu.Unlock()
+			f.received(c.id, status == http.StatusOK)
+			time.Sleep(20 * time.Millisecond)
+			c.answer(status, "")
+			if status == http.StatusOK {
+				f.deliveredTo(c.id)
+			}
+			return true
+		}
+		f.received(c.id, plan.status == http.StatusOK)
+		time.Sleep(5 * time.Millisecond)
+		text := answerText(plan.copied, "")
+		if plan.cut {
+			text = text[:len(text)/2]
+		}
+		io.WriteString(c.conn, text)
+		time.Sleep(plan.takes)
+		c.answer(plan.status, "")
+		if plan.status == http.StatusOK {
+			f.deliveredTo(c.id)
+		}
+		return true
+	}
+}
+
+func TestAnswerThatComesWithTheNextCallOutLeavesThatInDoubt(t *testing.T) {
+	const ms, manyScripted = time.Millisecond, 60
+	plans := map[string]latePlan{
+		"200 then 503":        {first: 200, copied: 200, status: 503, takes: 80 * ms},
+		"503 then 200":        {first: 503, copied: 503, status: 200, takes: 80 * ms},
+		"200 then 200":        {first: 200, copied: 200, status: 200, takes: 80 * ms},
+		"half a 200 then 503": {first: 200, copied: 200, cut: true, status: 503, takes: 40 * ms},
+		"half a 503 then 200": {first: 503, copied: 503, cut: true, status: 200, takes: 40 * ms},
+		"200 and 503 at once": {first: 200, copied: 200, status: 503},
+	}
+	for name, plan := range plans {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t, "hold = 50", "hold = 200")
+			f := &fates{messages: map[string]*fate{}}
+			w.listenScripted(manyScripted, lateReceiver(f, plan))
+			w.handInMany(f, manyScripted, 12*ms)
+			w.checkFates(f)
+		})
+	}
+}
--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -227,7 +227,7 @@
 	if !h.Taken() {
 		return
 	}
-	delivered, sure := never, never
+	delivered, sure, whole := never, never, never
 	for _, call := range c.byID[h.ID] {
 		// What comes past its time is no delivery, and its end is owed all the same.
 		if call.Delivered && call.Replied <= h.Until {
@@ -235,6 +235,10 @@
 		}
 		if call.sure(c.t.Crossing) {
 			sure = min(sure, call.Replied)
+			// A part of a good answer may be a part of an earlier call's, so its notice may be ended as well.
+			if !call.Spoilt && !call.Unfinished {
+				whole = min(whole, call.Replied)
+			}
 		}
 	}
 	ended, outcome := never, ""
@@ -265,8 +269,8 @@
 	case final < never && final > due:
 		c.say(Lost, h.ID, "has its final answer %.0f ms after its time was up", final-h.Until)
 	// What is delivered as its time ends may be ended as well, and told when the platform takes ends.
-	case sure < h.Until-c.t.Crossing && ended < never && ended > sure+c.t.Crossing && !c.away(h.Sender, sure-c.t.Crossing, ended):
-		c.say(Lost, h.ID, "was delivered and %.0f ms later ended as %s", ended-sure, outcome)
+	case whole < h.Until-c.t.Crossing && ended < never && ended > whole+c.t.Crossing && !c.away(h.Sender, whole-c.t.Crossing, ended):
+		c.say(Lost, h.ID, "was delivered and %.0f ms later ended as %s", ended-whole, outcome)
 	}
 	for _, call := range c.byID[h.ID] {
 		if call.First > ended+c.t.Slack || call.First > sure+c.t.Slack && !c.away(h.Sender, sure-c.t.Crossing, call.First) {
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -37,6 +37,7 @@
 	Ran                bool         // it took effect
 	Status             int          // the answer's; 0: none
 	Spoilt             bool         // the answer could not be read to its end
+	Unfinished         bool         // only a part of the answer has been written
 	Delivered          bool         // a whole first line with 200 was written
 	Wait               rules.Millis // told
 	Replied            rules.Millis // when the answer's first line was written; 0: not
--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -1,7 +1,10 @@
 package calls
 
 import (
+	"bytes"
 	"math"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,11 +26,16 @@
 	now := time.Now()
 	quiet := l.quiet(now)
 	l.heard = now
-	if l.call != nil && !l.call.written {
-		p.unasked(l, quiet, b)
-		c := l.call
-		p.drop(l, "said something before its first call")
-		p.end(c, rules.NotConnected)
+	if c := l.call; c != nil && !c.written {
+		l.call = nil
+		p.surplusCame(l, quiet, b)
+		if l.carried == 0 {
+			p.drop(l, "said something before its first call")
+			p.end(c, rules.NotConnected)
+			return
+		}
+		p.hearSurplus(l, b)
+		p.connect(c)
 		return
 	}
 	if l.givenUp {
@@ -36,19 +44,23 @@
 	}
 	if l.call == nil && !l.rest {
 		p.Stale++
-		p.unasked(l, quiet, b)
-		p.drop(l, "said something unasked")
+		if bytes.HasPrefix(b, []byte(idleTimedOut)) {
+			p.drop(l, "idle for too long to its receiver")
+			return
+		}
+		p.surplusCame(l, quiet, b)
+		p.hearSurplus(l, b)
 		return
 	}
+	if l.unsure() {
+		p.hearStatuses(l, b)
+	}
 	rest, done, err := l.parser.Feed(b)
 	switch {
 	case err != nil:
 		p.connectionFailed(l, "answer spoilt: "+err.Error())
 	case done:
-		if len(rest) > 0 {
-			p.unasked(l, 0, rest)
-		}
-		p.answered(l, l.parser.Take(), len(rest) > 0)
+		p.answered(l, l.parser.Take(), rest, false)
 	case l.call != nil && l.parser.HeadRead() && l.parser.Status() == 200:
 		// All that counts has come. A body that goes on and on must not hold the call up.
 		l.rest = true
@@ -58,15 +70,8 @@
 	}
 }
 
-// unaskedShown is how many bytes of what came unasked the log shows.
-const unaskedShown = 16
-
-// unasked notes that a connection said something that no call had asked for, after it was quiet for a while.
-func (p *Pool) unasked(l *connection, quiet time.Duration, b []byte) {
-	p.Unasked++
-	p.log.Warn(logs.Unasked, "connection", l.number, "receiver", l.receiver, "last", l.last, "carried", l.carried, "quiet", quiet,
-		"bytes", len(b), "begins", string(b[:min(len(b), unaskedShown)]))
-}
+// idleTimedOut is how the answer begins that some servers send, unasked, on a connection that was idle for too long to them.
+const idleTimedOut = "HTTP/1.1 408"
 
 // hearWait tells a wait as soon as it has been read: the answer's end may come late or never.
 func (p *Pool) hearWait(l *connection) {
@@ -78,12 +83,73 @@
 	p.waits = append(p.waits, rules.WaitTold{Receiver: l.receiver, Wait: told})
 }
 
-// hearLate hears the answer to a call that was given up: it may have crossed that, and tell a wait.
+// hearLate hears what comes on a connection that is not used any more: the answer to a call that was given up may have crossed that,
+// and tell a wait, and what came unasked may be the true answer to a call whose booked one was another's.
 func (p *Pool) hearLate(l *connection, b []byte) {
-	_, done, err := l.parser.Feed(b)
-	p.hearWait(l)
-	if done || err != nil || !l.waitUntil.IsZero() {
-		p.drop(l, "answer to a call given up")
+	l.statuses = appendStatuses(l.statuses[:0], b)
+	l.heardBytes += len(b)
+	for len(b) > 0 {
+		rest, done, err := l.parser.Feed(b)
+		p.hearWait(l)
+		if status := l.parser.Status(); status >= http.StatusOK {
+			l.statuses = append(l.statuses, status)
+		}
+		if l.surplus {
+			p.doubtOthers(l)
+		}
+		switch {
+		case err != nil && l.surplus && l.heardBytes <= p.limits.Body:
+			l.parser.Free() // noise, behind which an answer may come yet
+			return
+		case err != nil || done && !l.surplus:
+			p.drop(l, "nothing more to be heard")
+			return
+		}
+		if done {
+			l.parser.Take().Body.Free()
+			l.waitUntil = time.Time{}
+		}
+		b = rest
+	}
+}
+
+// hearStatuses looks for status lines in what has come for a call. Behind the head of its answer they are another answer's.
+func (p *Pool) hearStatuses(l *connection, b []byte) {
+	if l.rest {
+		l.statuses = l.statuses[:0]
+	}
+	if l.statuses = appendStatuses(l.statuses, b); l.rest {
+		p.doubtOthers(l)
+	}
+}
+
+// doubtOthers takes outcomes back that don't hold if the answers heard last belong to calls that were answered before.
+func (p *Pool) doubtOthers(l *connection) {
+	for _, status := range l.statuses {
+		p.doubt(l, status)
+	}
+}
+
+// contradicted tells whether the answer to the call of a connection may be another call's: bytes had come when the call was written, or
+// the connection has carried calls before and what has come since holds an answer with another status.
+func (l *connection) contradicted(status int) bool {
+	other := func(heard int) bool { return heard != status }
+	return l.early || l.unsure() && slices.ContainsFunc(l.statuses, other)
+}
+
+// appendStatuses appends the statuses of all status lines in b but those of interim answers.
+func appendStatuses(statuses []int, b []byte) []int {
+	const version, line = "HTTP/1.", "HTTP/1.1 200"
+	for {
+		at := bytes.Index(b, []byte(version))
+		if at < 0 || len(b)-at < len(line) {
+			return statuses
+		}
+		status, err := strconv.Atoi(string(b[at+len("HTTP/1.1 ") : at+len(line)]))
+		if err == nil && status >= http.StatusOK {
+			statuses = append(statuses, status)
+		}
+		b = b[at+len(version):]
 	}
 }
 
@@ -100,29 +166,49 @@
 
 func span(m rules.Millis) time.Duration { return time.Duration(m * rules.Millis(time.Millisecond)) }
 
-// answered ends a call with its answer, and keeps the connection if nothing speaks against it.
-func (p *Pool) answered(l *connection, m *http1.Message, more bool) {
+// answered ends a call with its answer, and keeps the connection if nothing speaks against it: bytes behind the answer, or the
+// connection's end.
+func (p *Pool) answered(l *connection, m *http1.Message, behind []byte, ended bool) {
 	m.Body.Free()
 	if p.tracing {
 		p.log.Debug(logs.Answered, "connection", l.number, "notice", l.notice(), "receiver", l.receiver, "status", m.Status,
-			"after", time.Since(l.wrote), "behind", more)
+			"after", time.Since(l.wrote), "behind", len(behind) > 0)
 	}
-	if more && !m.Close {
+	if len(behind) > 0 && !m.Close {
 		p.Beyond++
 	}
 	if l.call != nil {
 		p.outcome(l, m)
 	}
-	if l.rest, l.since = false, p.now; m.Close || more || l.gone {
-		p.drop(l, "answer said so, had more behind it, or the receiver is gone")
-	} else {
+	if len(behind) > 0 {
+		p.surplusCame(l, 0, behind)
+	}
+	l.rest, l.since = false, p.now
+	switch {
+	case len(behind) > 0:
+		p.hearSurplus(l, behind)
+	case m.Close || ended || l.early:
+		p.drop(l, "answer said so, came too early, or the connection ended with it")
+	case l.gone:
+		p.settle(l)
+		p.letGo(l, "the receiver is gone")
+	default:
+		p.settle(l)
 		p.idle[l.receiver] = append(p.idle[l.receiver], l)
 	}
 }
 
-// outcome ends a call by the head of its answer.
+// outcome ends a call by the head of its answer, unless that may be another call's.
 func (p *Pool) outcome(l *connection, m *http1.Message) {
 	e := rules.TripEnded{Result: rules.Errored}
+	if l.contradicted(m.Status) {
+		e.Result, e.MayBeDelivered = rules.Ambiguous, l.early || m.Status == 200 || slices.Contains(l.statuses, 200)
+		if refusal(m.Status) {
+			e.Wait = p.waitLeft(l, m)
+		}
+		p.endCall(l, e)
+		return
+	}
 	switch m.Status {
 	case 200:
 		e.Result = rules.Handled
@@ -139,6 +225,18 @@
 		e.Result, e.Over = rules.Moot, true
 	}
 	e.LimitTold, e.LimitLeft, e.LimitRate = p.loadReport(m.Get("server-load"))
+	if l.unsure() {
+		state := unconfirmed
+		if e.Unconfirmed = e.Result != rules.Errored; !e.Unconfirmed {
+			state = mayHaveRun
+		}
+		l.remember(l.call, m.Status, p.settleTime(l), state)
+	}
+	p.endCall(l, e)
+}
+
+// endCall ends the call that a connection carries.
+func (p *Pool) endCall(l *connection, e rules.TripEnded) {
 	c := l.call
 	l.call, l.since = nil, p.now
 	p.finish(c, e)
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -40,20 +40,28 @@
 
 // connection is one connection to a receiver.
 type connection struct {
-	conn     *sockets.Conn
-	number   uint64 // of those that the pool made
-	parser   *http1.Parser
-	receiver rules.ReceiverID
-	up       bool
-	carried  int            // calls that were written
-	last     rules.NoticeID // of the last of them
-	call     *Call          // nil: idle, or reading what is left of an answer
-	rest     bool           // the answer's head was enough, its body is still to come
-	gone     bool           // its receiver is listed no more
-	givenUp  bool           // its call was given up: nothing more is sent, and only a wait is still heard
-	since    time.Time
-	wrote    time.Time // when the last call was written
-	heard    time.Time // when the last bytes were heard
+	conn       *sockets.Conn
+	number     uint64 // of those that the pool made
+	parser     *http1.Parser
+	receiver   rules.ReceiverID
+	up         bool
+	carried    int            // calls that were written
+	last       rules.NoticeID // of the last of them
+	call       *Call          // nil: idle, or reading what is left of an answer
+	rest       bool           // the answer's head was enough, its body is still to come
+	gone       bool           // its receiver is listed no more
+	givenUp    bool           // its call was given up: nothing more is sent, and only a wait is still heard
+	heardBytes int            // of what came when it was not used any more
+	surplus    bool           // the same, after something came that no call had asked for
+	retired    bool           // it is not used again, and closed when it has settled
+	statuses   []int          // of all answers that were heard since the call was written, where they may be other calls'
+	early      bool           // bytes had come before its call was surely written
+	since      time.Time
+	wrote      time.Time // when the last call was written
+	heard      time.Time // when the last bytes were heard
+	// settledAt is when it may carry a further call: it must have been quiet for a while since its last answer.
+	settledAt time.Time
+	exchanges []exchange // answered on it, of which the answers may have been other calls'
 	// waitUntil is the end of the wait that the answer being read has told; zero: none.
 	waitUntil time.Time
 }
@@ -64,7 +72,7 @@
 	limits  limits.Limits
 	buffers *buffers.Pool
 	report  []string
-	before  func(*Call) error
+	hooks   Hooks
 	log     *slog.Logger
 	tracing bool // each connection's way is logged
 
@@ -74,9 +82,14 @@
 	connections   map[*sockets.Conn]*connection
 	made          uint64                             // connections
 	idle          map[rules.ReceiverID][]*connection // the one used last at the end
+	waiting       []*connection                      // those that settle, with calls that wait for that
+	comesUp       map[rules.ReceiverID]time.Duration // how long the last connection to a receiver took to come up
 	ended         []rules.TripEnded
 	up            []rules.ConnectionUp
 	waits         []rules.WaitTold
+	confirmed     []rules.NoticeID
+	doubts        []Doubt
+	surplus       []rules.ReceiverID
 	now           time.Time
 	bytes         []byte
 	// lagged says that the process may have stood still since connections were last heard: answers may wait unread.
@@ -88,12 +101,23 @@
 	Unasked int // connections that said something unasked, or more than an answer
 }
 
-// New makes a pool. report names the values of a load report in the decisions' order; before is asked just
-// before a call is written, and its error keeps the call from leaving.
-func New(l limits.Limits, pool *buffers.Pool, report []string, log *slog.Logger, before func(*Call) error) *Pool {
-	return &Pool{limits: l, buffers: pool, report: report, before: before, log: log,
+// Hooks is what a pool asks for.
+type Hooks struct {
+	// Record is asked just before a call is written; its error keeps the call from leaving.
+	Record func(*Call) error
+	// SettleTime is how long a connection must have been quiet since its first or a later answer to carry a further call.
+	SettleTime func(receiver rules.ReceiverID, first bool) time.Duration
+	// WaitsToSettle tells whether a call waits for a connection that has settled when left is over, rather than for a new one, of
+	// which the last took comesUp to come up.
+	WaitsToSettle func(receiver rules.ReceiverID, left, comesUp time.Duration) bool
+}
+
+// New makes a pool. report names the values of a load report in the decisions' order.
+func New(l limits.Limits, pool *buffers.Pool, report []string, log *slog.Logger, hooks Hooks) *Pool {
+	return &Pool{limits: l, buffers: pool, report: report, hooks: hooks, log: log,
 		tracing: log.Enabled(context.Background(), slog.LevelDebug), out: map[rules.NoticeID]*Call{},
-		byDestination: map[rules.DestinationID][]*Call{}, connections: map[*sockets.Conn]*connection{}, idle: map[rules.ReceiverID][]*connection{}}
+		byDestination: map[rules.DestinationID][]*Call{}, connections: map[*sockets.Conn]*connection{}, idle: map[rules.ReceiverID][]*connection{},
+		comesUp: map[rules.ReceiverID]time.Duration{}}
 }
 
 // Use says on which sockets calls go.
@@ -118,7 +142,7 @@
 	return ended
 }
 
-// Send begins a call, on an idle connection if there is one.
+// Send begins a call: on an idle connection that has settled, or one that will soon, or a new one.
 func (p *Pool) Send(c *Call) {
 	c.Begun, c.due = p.now, p.now.Add(c.TimeOut)
 	p.out[c.Notice] = c
@@ -128,19 +152,20 @@
 		p.end(c, rules.Recalled)
 		return
 	}
-	for idle := p.idle[c.Receiver]; len(idle) > 0; idle = p.idle[c.Receiver] {
-		l := idle[len(idle)-1]
-		// What has come unasked would be taken for this call's answer.
-		if !l.conn.Quiet() {
-			p.Stale++
-			p.drop(l, "not quiet before a call")
-			continue
-		}
-		p.removeIdle(l)
+	if l := p.usable(c.Receiver); l != nil {
 		l.call, c.connection = c, l
 		p.write(l)
 		return
 	}
+	if l := p.nextSettled(c.Receiver); l != nil {
+		p.waitToSettle(l, c)
+		return
+	}
+	p.connect(c)
+}
+
+// connect begins a new connection for a call.
+func (p *Pool) connect(c *Call) {
 	if len(p.connections) >= p.limits.Receivers && !p.closeOldest() {
 		p.end(c, rules.Short)
 		return
@@ -180,12 +205,18 @@
 		p.Recall(notice)
 		return
 	}
-	if !c.connection.conn.Quiet() {
-		p.drop(c.connection, "ended or said something before its first call")
+	l := c.connection
+	switch {
+	case l.conn.Quiet():
+		p.write(l)
+	case l.carried > 0:
+		l.call = nil
+		p.retire(l)
+		p.connect(c)
+	default:
+		p.drop(l, "ended or said something before its first call")
 		p.end(c, rules.NotConnected)
-		return
 	}
-	p.write(c.connection)
 }
 
 // unheard tells whether another call to the same destination has an answer that was not read yet, which may tell to wait.
@@ -205,28 +236,32 @@
 	if c == nil || c.written || !c.connection.up {
 		return
 	}
-	l := c.connection
-	l.call, l.since = nil, p.now
-	if l.gone {
-		p.drop(l, "the receiver is gone")
-	} else {
-		p.idle[l.receiver] = append(p.idle[l.receiver], l)
-	}
+	p.unassign(c.connection)
 	p.end(c, rules.Recalled)
 }
 
+// write writes the call of a connection. What has come by then would be taken for its answer: the call is taken back then.
 func (p *Pool) write(l *connection) {
 	c := l.call
-	if err := p.before(c); err != nil {
+	p.confirm(l)
+	if err := p.hooks.Record(c); err != nil {
 		p.drop(l, "trip not recorded")
 		p.end(c, rules.Short)
 		return
 	}
+	looked := time.Now()
+	if l.carried > 0 && !l.conn.Quiet() {
+		l.call = nil
+		p.retire(l)
+		p.end(c, rules.Recalled)
+		return
+	}
 	if p.tracing {
 		p.log.Debug(logs.Written, "connection", l.number, "id", c.ID, "notice", c.Notice, "receiver", c.Receiver,
 			"begun_ago", p.now.Sub(c.Begun), "fresh", l.carried == 0, "carried", l.carried, "rested", l.quiet(time.Now()))
 	}
 	l.carried++
+	l.statuses = l.statuses[:0]
 	l.last = c.Notice
 	wait := max(c.TimeOut-p.now.Sub(c.Begun), time.Millisecond)
 	fields := []http1.Field{
@@ -241,6 +276,7 @@
 	// An error is told by Closed, which knows from what was written whether the call can have run.
 	l.conn.Write(c.Body.AppendTo(p.bytes))
 	l.since, l.wrote = p.now, time.Now()
+	l.early = l.wrote.Sub(looked) > p.limits.WriteTime && !l.conn.Quiet()
 }
 
 func (p *Pool) end(c *Call, result rules.Result) { p.finish(c, rules.TripEnded{Result: result}) }
@@ -268,17 +304,32 @@
 	if c == nil {
 		return
 	}
-	switch {
-	case c.connection.parser.Status() == 200:
-		result = rules.Handled
-	case !c.written:
+	if l := c.connection; !c.written {
 		result = rules.NotConnected
+		if l.carried > 0 {
+			p.unassign(l)
+			p.end(c, result)
+			return
+		}
+	} else if l.parser.Status() == 200 {
+		p.stopSending(l, "call given up within a good answer")
+		p.finish(c, goodAnswerCut(l))
+		return
 	}
 	p.stopSending(c.connection, "call "+result.String())
 	p.end(c, result)
 }
 
-// Expire gives up calls that are out too long and returns when the next one will be.
+// goodAnswerCut is the outcome of a call of which the answer said 200 and did not come whole: on a connection that has carried calls
+// before that may be a part of another call's.
+func goodAnswerCut(l *connection) rules.TripEnded {
+	if l.unsure() {
+		return rules.TripEnded{Result: rules.Ambiguous, MayBeDelivered: true}
+	}
+	return rules.TripEnded{Result: rules.Handled}
+}
+
+// Expire gives up calls that are out too long, asks for those whose connections have settled, and returns when it is due again.
 func (p *Pool) Expire() (next time.Time) {
 	for len(p.deadlines) > 0 && !p.deadlines[0].due.After(p.now) {
 		p.giveUp(p.deadlines[0], rules.TimedOut)
@@ -286,8 +337,13 @@
 	if len(p.deadlines) > 0 {
 		next = p.deadlines[0].due
 	}
+	if settles := p.stepWaiting(); !settles.IsZero() && (next.IsZero() || settles.Before(next)) {
+		next = settles
+	}
 	return next
 }
 
-// Waiting tells whether there are outcomes that were not handed over.
-func (p *Pool) Waiting() bool { return len(p.ended)+len(p.up)+len(p.waits) > 0 }
+// Waiting tells whether there is something that was not handed over.
+func (p *Pool) Waiting() bool {
+	return len(p.ended)+len(p.up)+len(p.waits)+len(p.confirmed)+len(p.doubts)+len(p.surplus) > 0
+}
--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -30,6 +30,9 @@
 	answers  chan string
 	calls    rules.NoticeID
 	trace    strings.Builder
+	// settleTime is how long connections settle behind an answer.
+	settleTime time.Duration
+	waits      bool // calls wait for connections that settle
 }
 
 func begin(t *testing.T) *stage {
@@ -61,7 +64,10 @@
 	}()
 	l := limits.For(limits.Machine{}, rules.Settings{IdleKept: 10_000}, 1000)
 	pool := buffers.NewPool(l.Buffer)
-	s.pool = New(l, pool, []string{"x0", "x1"}, slog.New(slog.DiscardHandler), func(*Call) error { return nil })
+	s.pool = New(l, pool, []string{"x0", "x1"}, slog.New(slog.DiscardHandler), Hooks{
+		Record:        func(*Call) error { return nil },
+		SettleTime:    func(rules.ReceiverID, bool) time.Duration { return s.settleTime },
+		WaitsToSettle: func(rules.ReceiverID, time.Duration, time.Duration) bool { return s.waits }})
 	if s.net, err = sockets.Start("127.0.0.1:0", l, pool, s.pool); err != nil {
 		t.Fatal(err)
 	}
@@ -243,7 +249,7 @@
 	if ended := s.pool.Ended(); len(ended) != 0 || s.pool.Out() != 1 {
 		t.Errorf("with an idle connection: %+v", ended)
 	}
-	s.pool.before = func(*Call) error { return fmt.Errorf("the ledger is full") }
+	s.pool.hooks.Record = func(*Call) error { return fmt.Errorf("the ledger is full") }
 	for s.pool.Out() > 0 {
 		s.turn()
 	}
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -17,7 +17,7 @@
 func (p *Pool) closeOldest() bool {
 	var oldest *connection
 	for _, l := range p.connections {
-		if l.givenUp && (oldest == nil || l.since.Before(oldest.since)) {
+		if (l.givenUp || l.retired) && (oldest == nil || l.since.Before(oldest.since)) {
 			oldest = l
 		}
 	}
@@ -49,6 +49,7 @@
 		return
 	}
 	l.up = true
+	p.comesUp[l.receiver] = p.now.Sub(l.since)
 	if p.tracing {
 		p.log.Debug(logs.Connected, "connection", l.number, "notice", l.notice(), "receiver", l.receiver, "local", conn.Local(),
 			"took", p.now.Sub(l.since))
@@ -62,15 +63,22 @@
 	if l == nil {
 		return
 	}
-	if l.call != nil && l.parser.End() == nil {
-		p.answered(l, l.parser.Take(), true)
+	c := l.call
+	switch {
+	case (c != nil || l.rest) && l.parser.End() == nil:
+		p.answered(l, l.parser.Take(), nil, true)
+		return
+	case c != nil && !c.written && l.carried > 0:
+		l.call = nil
+		p.drop(l, "ended while it settled")
+		p.connect(c)
 		return
 	}
 	reason := "closed by the receiver"
 	if why != nil {
 		reason = why.Error()
 	}
-	if c := l.call; !l.up && c != nil && localShortage(why) {
+	if !l.up && c != nil && localShortage(why) {
 		p.drop(l, reason)
 		p.end(c, rules.Short)
 		return
@@ -96,12 +104,13 @@
 	e := rules.TripEnded{Result: rules.Reset}
 	switch {
 	case status == 200:
-		e.Result = rules.Handled
+		e = goodAnswerCut(l)
 	case !begun && !(l.up && c != nil && c.written && l.conn.Written()):
 		e.Result = rules.NotConnected
 	case refusal(status):
 		e.Wait = p.waitLeft(l, l.parser.Message())
 	}
+	p.doubtCut(l)
 	p.drop(l, why)
 	if c != nil {
 		if begun {
@@ -127,13 +136,14 @@
 // LetGo closes the idle connections to a receiver.
 func (p *Pool) LetGo(receiver rules.ReceiverID) {
 	for _, l := range append([]*connection(nil), p.idle[receiver]...) {
-		p.drop(l, "let go")
+		p.letGo(l, "let go")
 	}
 }
 
 // Forget ends the connections to a receiver that is listed no more; a call that is out comes to its end first.
 func (p *Pool) Forget(receiver rules.ReceiverID) {
 	p.LetGo(receiver)
+	delete(p.comesUp, receiver)
 	for _, l := range p.connections {
 		if l.receiver == receiver {
 			l.gone = true
@@ -141,6 +151,10 @@
 	}
 }
 
+// unsure tells whether the answer to the call of a connection may be another's: it has carried calls before, or bytes had come when
+// the call was written.
+func (l *connection) unsure() bool { return l.carried > 1 || l.early }
+
 // quiet is how long nothing has been heard on a connection; 0 if nothing ever was.
 func (l *connection) quiet(now time.Time) time.Duration {
 	if l.heard.IsZero() {
@@ -164,6 +178,7 @@
 	l.conn.Close()
 	l.parser.Free()
 	delete(p.connections, l.conn)
+	p.confirm(l)
 	p.removeIdle(l)
 }
 
@@ -181,8 +196,12 @@
 // answer's body does not end.
 func (p *Pool) Sweep() {
 	for _, l := range p.connections {
-		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime {
+		p.confirmSettled(l)
+		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime && p.settled(l) {
+			p.doubtCut(l)
 			p.drop(l, "answer does not end")
+		} else if l.retired && p.settled(l) && p.now.Sub(l.heard) > p.limits.RestTime {
+			p.drop(l, "retired")
 		}
 	}
 	for receiver := range p.idle {
--- /dev/null
+++ b/internal/calls/settling.go
@@ -0,0 +1,253 @@
+package calls
+
+import (
+	"slices"
+	"time"
+
+	"chuteweir.example/chuteweir/internal/logs"
+	"chuteweir.example/chuteweir/rules"
+)
+
+// Connections that settle: after an answer a connection stays unused for a while, in which bytes that no call has asked for show
+// that an answer was booked on a call that it did not belong to.
+
+// exchange is a call that was answered on a connection that had carried calls before, so that its answer may be another's.
+type exchange struct {
+	notice  rules.NoticeID
+	id      string
+	status  int       // that it was booked with
+	due     time.Time // its true answer comes no later
+	written time.Time
+	heard   time.Time     // when that was
+	settles time.Duration // how long the connection settled behind it
+	state   exchangeState
+}
+
+// exchangeState is what is known of an exchange's outcome.
+type exchangeState uint8
+
+const (
+	unconfirmed exchangeState = iota
+	confirmed
+	doubted
+	mayHaveRun // the outcome said no more than that: there is nothing to take back
+)
+
+// Doubt is a call whose outcome was told although its answer may have been another call's.
+type Doubt struct {
+	Notice   rules.NoticeID
+	Receiver rules.ReceiverID
+	ID       string // of the notice, as its client gave it
+	Written  time.Time
+}
+
+// exchangesKept is how many answered calls a connection remembers at most.
+const exchangesKept = 32
+
+// shiftedWithin is how many times the settling time a connection may have stood unused between two calls of which the second may
+// have been booked with the answer to the first.
+const shiftedWithin = 2
+
+// Confirmed hands over the notices whose unconfirmed outcomes hold, since the last time.
+func (p *Pool) Confirmed() []rules.NoticeID {
+	confirmed := p.confirmed
+	p.confirmed = nil
+	return confirmed
+}
+
+// Doubts hands over the calls whose outcomes are in doubt, since the last time.
+func (p *Pool) Doubts() []Doubt {
+	doubts := p.doubts
+	p.doubts = nil
+	return doubts
+}
+
+// Surplus hands over the receivers that sent more than they were asked for, since the last time.
+func (p *Pool) Surplus() []rules.ReceiverID {
+	surplus := p.surplus
+	p.surplus = nil
+	return surplus
+}
+
+// remember notes an outcome that may be another call's.
+func (l *connection) remember(c *Call, status int, settles time.Duration, state exchangeState) {
+	if len(l.exchanges) == exchangesKept {
+		l.exchanges = slices.Delete(l.exchanges, 0, 1)
+	}
+	l.exchanges = append(l.exchanges, exchange{notice: c.Notice, id: c.ID, status: status, due: c.due, written: l.wrote, heard: l.heard,
+		settles: settles, state: state})
+}
+
+// settle lets a connection settle behind an answer.
+func (p *Pool) settle(l *connection) {
+	l.settledAt = l.heard.Add(p.settleTime(l))
+}
+
+func (p *Pool) settleTime(l *connection) time.Duration {
+	return p.hooks.SettleTime(l.receiver, l.carried == 1)
+}
+
+// settled tells whether a connection has settled, as far as its time goes.
+func (p *Pool) settled(l *connection) bool { return !p.now.Before(l.settledAt) }
+
+// waitToSettle lets a call wait for an idle connection that still settles.
+func (p *Pool) waitToSettle(l *connection, c *Call) {
+	p.removeIdle(l)
+	l.call, c.connection = c, l
+	if !slices.Contains(p.waiting, l) {
+		p.waiting = append(p.waiting, l)
+	}
+}
+
+// stepWaiting asks whether calls may leave whose connections have settled, and returns when the next one will. What has come on a
+// connection and was not heard yet is waited for.
+func (p *Pool) stepWaiting() (next time.Time) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(l *connection) bool {
+		switch {
+		case l.call == nil || l.call.written:
+			return true
+		case p.settled(l) && l.conn.Quiet():
+			p.up = append(p.up, rules.ConnectionUp{Notice: l.call.Notice})
+			return true
+		case p.settled(l):
+			l.settledAt = p.now.Add(p.limits.Unheard)
+		}
+		if next.IsZero() || l.settledAt.Before(next) {
+			next = l.settledAt
+		}
+		return false
+	})
+	return next
+}
+
+// confirmSettled lets the outcomes of a connection hold if it has settled and nothing has come on it.
+func (p *Pool) confirmSettled(l *connection) {
+	open := func(e exchange) bool { return e.state == unconfirmed }
+	if !l.rest && p.settled(l) && slices.ContainsFunc(l.exchanges, open) && l.conn.Quiet() {
+		p.confirm(l)
+	}
+}
+
+// confirm lets the outcomes of a connection hold.
+func (p *Pool) confirm(l *connection) {
+	for i := range l.exchanges {
+		if e := &l.exchanges[i]; e.state == unconfirmed {
+			e.state = confirmed
+			p.confirmed = append(p.confirmed, e.notice)
+		}
+	}
+}
+
+// doubt takes outcomes back that don't hold if an answer with another status was the true one to the last call. The true answer to
+// each call before was then booked on the call behind it, which must have been written soon enough for that.
+func (p *Pool) doubt(l *connection, status int) {
+	var written time.Time // of the call behind
+	for i := len(l.exchanges) - 1; i >= 0; i-- {
+		e := &l.exchanges[i]
+		if e.due.Before(p.now) || !written.IsZero() && written.Sub(e.heard) > shiftedWithin*e.settles {
+			return
+		}
+		if e.status != status {
+			p.takeBack(l, e)
+		}
+		status, written = e.status, e.written
+	}
+}
+
+// takeBack puts an outcome in doubt.
+func (p *Pool) takeBack(l *connection, e *exchange) {
+	if e.state == unconfirmed || e.state == confirmed {
+		e.state = doubted
+		p.doubts = append(p.doubts, Doubt{Notice: e.notice, Receiver: l.receiver, ID: e.id, Written: e.written})
+	}
+}
+
+// doubtCut takes back what the head of an answer has told that did not come whole: it may be a part of an earlier call's.
+func (p *Pool) doubtCut(l *connection) {
+	if l.rest && l.unsure() && len(l.exchanges) > 0 {
+		p.takeBack(l, &l.exchanges[len(l.exchanges)-1])
+	}
+}
+
+// surplusShown is how many bytes of what came unasked the log shows.
+const surplusShown = 16
+
+// surplusCame notes that a connection said something that no call had asked for, after it was quiet for a while.
+func (p *Pool) surplusCame(l *connection, quiet time.Duration, b []byte) {
+	p.Unasked++
+	p.surplus = append(p.surplus, l.receiver)
+	p.log.Warn(logs.Unasked, "connection", l.number, "receiver", l.receiver, "last", l.last, "carried", l.carried, "quiet", quiet,
+		"bytes", len(b), "begins", string(b[:min(len(b), surplusShown)]))
+}
+
+// hearSurplus ends the use of a connection on which something came unasked. Where that may be the true answer to a call whose
+// booked one was another's, it is heard until the connection has settled.
+func (p *Pool) hearSurplus(l *connection, b []byte) {
+	if l.carried <= 1 {
+		p.drop(l, "said something unasked")
+		return
+	}
+	p.removeIdle(l)
+	l.givenUp, l.surplus, l.since, l.waitUntil = true, true, p.now, time.Time{}
+	p.settle(l)
+	p.hearLate(l, b)
+}
+
+// retire keeps a connection from being used again; what still comes on it is heard until it has settled.
+func (p *Pool) retire(l *connection) {
+	p.removeIdle(l)
+	l.retired = true
+}
+
+// letGo closes an idle connection, once its outcomes are confirmed.
+func (p *Pool) letGo(l *connection, why string) {
+	if p.settled(l) || len(l.exchanges) == 0 {
+		p.drop(l, why)
+	} else {
+		p.retire(l)
+	}
+}
+
+// unassign takes a call that was not written from the connection that it waits for.
+func (p *Pool) unassign(l *connection) {
+	l.call, l.since = nil, p.now
+	if l.gone {
+		p.letGo(l, "the receiver is gone")
+	} else {
+		p.idle[l.receiver] = append(p.idle[l.receiver], l)
+	}
+}
+
+// usable is an idle connection to a receiver that has settled and on which nothing has come, or nil.
+func (p *Pool) usable(receiver rules.ReceiverID) *connection {
+	idle := p.idle[receiver]
+	for i := len(idle) - 1; i >= 0; i-- {
+		l := idle[i]
+		if !p.settled(l) {
+			continue
+		}
+		if l.conn.Quiet() {
+			p.removeIdle(l)
+			return l
+		}
+		p.Stale++
+		p.retire(l) // what has come, or its end, is told when it is gathered
+		idle = p.idle[receiver]
+		i = min(i, len(idle))
+	}
+	return nil
+}
+
+// nextSettled is the idle connection to a receiver that settles next and is worth waiting for, or nil.
+func (p *Pool) nextSettled(receiver rules.ReceiverID) *connection {
+	var first *connection
+	for _, l := range p.idle[receiver] {
+		if first == nil || l.settledAt.Before(first.settledAt) {
+			first = l
+		}
+	}
+	if first == nil || !p.hooks.WaitsToSettle(receiver, first.settledAt.Sub(p.now), p.comesUp[receiver]) {
+		return nil
+	}
+	return first
+}
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -39,6 +39,7 @@
 	WaitTold      = "wait_told"
 	Answered      = "answered"
 	Unasked       = "unasked"
+	Doubted       = "doubted"
 )
 
 // Event is one kind of line.
@@ -76,6 +77,7 @@
 	{Disconnected, "debug", []string{"connection", "notice", "receiver", "why", "connected"}, false, "a connection to a receiver ended, with the call that it carried or 0; `why` also tells who ended it"},
 	{Answered, "debug", []string{"connection", "notice", "receiver", "status", "after", "behind"}, false, "an answer was read whole, so long `after` its call was written, whether bytes came `behind` it"},
 	{Unasked, "warn", []string{"connection", "receiver", "last", "carried", "quiet", "bytes", "begins"}, true, "a receiver sent what no call had asked for, on a connection that had carried so many calls, the notice of the `last` of them, and had been `quiet` for so long; such bytes may belong to another call than the one that they would be booked on"},
+	{Doubted, "warn", []string{"id", "notice", "receiver", "written_ago", "held"}, true, "an outcome was taken back, since the answer may have been another call's: a notice that is not `held` any more gets an end at the platform, and one that is counts as one that may have run"},
 	{WaitTold, "debug", []string{"receiver", "wait"}, false, "a receiver told to wait by an answer whose end has not come; waits told by whole answers stand in `outcome`"},
 	{Outcome, "debug", []string{"id", "notice", "receiver", "result", "spent", "wait"}, false, "a trip came to its end"},
 	{Ended, "debug", []string{"id", "notice", "outcome", "retry_in_ms"}, false, "a notice has its final answer, other than by being handled"},
--- a/internal/loop/admission.go
+++ b/internal/loop/admission.go
@@ -26,7 +26,7 @@
 			l.counters.Repeated++
 			l.refuse(r, 409)
 			continue
-		case hold > 0 && len(l.notices) >= hold:
+		case hold > 0 && len(l.notices)-l.answered >= hold:
 			l.counters.NoHold++
 			l.refuse(r, 503)
 			continue
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -45,7 +45,8 @@
 	out         bool            // a trip is out
 	recorded    bool            // and the ledger has it
 	over        bool
-	trips       int // begun in this process
+	trips       int  // begun in this process
+	unconfirmed bool // what its last trip came to may be doubted yet, and is not in the ledger
 }
 
 // Loop is the running sender.
@@ -66,6 +67,7 @@
 	arrivals     arrivals
 	notices      map[rules.NoticeID]*held
 	last         rules.NoticeID
+	answered     int             // notices that are over and kept until their answers are confirmed
 	restored     []ledger.Notice // owed from before the start, not told to the decisions yet
 	heldBytes    int
 	ids          recent
@@ -100,7 +102,7 @@
 	l.config.Settings.Stall = millis(c.Limits.Stall)
 	l.sender = rules.New(c.Seed, l.config.Settings)
 	l.intake = intake.New(c.Limits, l.buffers, c.Names, l.receivers.Knows, func() string { return l.counted().Page() })
-	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, l.record)
+	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, calls.Hooks{Record: l.record, SettleTime: l.settleTime, WaitsToSettle: l.waitsToSettle})
 	l.directory = directory.New(c.Discovery, c.Limits, l.buffers, l.receivers, c.Known.Revision)
 	known := c.Known
 	known.Complete = true
@@ -248,7 +250,7 @@
 	case left >= limits.ExitBy:
 		done = true
 	case left >= limits.SendUntil:
-		done = l.calls.Out() == 0 && l.directory.Owed() == 0
+		done = l.calls.Out() == 0 && l.directory.Owed() == 0 && l.answered == 0
 	case left >= limits.Linger:
 		done = len(l.notices) == 0 && l.directory.Owed() == 0
 	}
@@ -309,6 +311,7 @@
 		l.book(e)
 		l.events = append(l.events, e)
 	}
+	l.gatherConfirmations()
 	for _, told := range l.calls.Waits() {
 		if l.tracing {
 			l.log.Debug(logs.WaitTold, "receiver", told.Receiver, "wait", span(told.Wait))
@@ -381,7 +384,7 @@
 	c := l.counters
 	c.Refusals = l.intake.Refused
 	c.NoRoom = c.NoHold + c.NoBytes + c.NoDisk
-	c.Out, c.Held = l.calls.Out(), len(l.notices)
+	c.Out, c.Held = l.calls.Out(), len(l.notices)-l.answered
 	c.Refused = c.Unreadable + c.Unknown + c.Malformed + c.Late + c.Leaving + c.Repeated + c.NoRoom
 	c.BrokenAnswers, c.Unheard = l.directory.Broken, l.net.Unheard()
 	c.Spoilt, c.Beyond, c.Stale, c.Unasked = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale, l.calls.Unasked
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -1,6 +1,8 @@
 package loop
 
 import (
+	"time"
+
 	"chuteweir.example/chuteweir/internal/calls"
 	"chuteweir.example/chuteweir/internal/directory"
 	"chuteweir.example/chuteweir/internal/ledger"
@@ -36,11 +38,11 @@
 	case rules.Recalled:
 		l.counters.Recalled++
 		l.uncount(n)
+	case rules.Ambiguous:
+		l.counters.Ambiguous++
 	default:
 		l.counters.Lost++
 	}
-	unrun := e.Result == rules.Full || e.Result == rules.NotConnected || e.Result == rules.Moot || e.Result == rules.Short ||
-		e.Result == rules.Recalled
 	recorded := n.recorded
 	n.recorded = false
 	switch {
@@ -50,13 +52,98 @@
 		return
 	case e.Over:
 		n.over = true
-		l.keep(l.ledger.Closed(e.Notice))
-	case recorded && unrun:
-		l.keep(l.ledger.Unrun(e.Notice))
+		l.settleOutcome(e, n)
+	case recorded && unrun(e.Result):
+		l.settleOutcome(e, n)
 	}
 	l.release(e.Notice, n)
 }
 
+// unrun tells an outcome of which the trip has not run.
+func unrun(r rules.Result) bool {
+	return r == rules.Full || r == rules.NotConnected || r == rules.Moot || r == rules.Short || r == rules.Recalled
+}
+
+// settleTime is how long a connection must have been quiet since an answer to carry a further call.
+func (l *Loop) settleTime(receiver rules.ReceiverID, first bool) time.Duration {
+	return span(l.sender.SettleTime(receiver, first))
+}
+
+// waitsToSettle tells whether a call waits for a connection that still settles rather than for a new one.
+func (l *Loop) waitsToSettle(receiver rules.ReceiverID, left, comesUp time.Duration) bool {
+	return l.sender.WaitsToSettle(receiver, millis(left), millis(comesUp))
+}
+
+// settleOutcome writes into the ledger that a notice is over or that its last trip has not run; of an unconfirmed outcome only
+// once that is confirmed.
+func (l *Loop) settleOutcome(e rules.TripEnded, n *held) {
+	if !e.Unconfirmed {
+		l.writeOutcome(e.Notice, n)
+		return
+	}
+	n.unconfirmed = true
+	if n.over {
+		l.answered++
+		l.heldBytes -= n.body.Held()
+		n.body.Free()
+		n.body = nil
+	}
+}
+
+func (l *Loop) writeOutcome(number rules.NoticeID, n *held) {
+	if n.over {
+		l.keep(l.ledger.Closed(number))
+	} else {
+		l.keep(l.ledger.Unrun(number))
+	}
+}
+
+// gatherConfirmations takes what has become of outcomes that were told before they were sure.
+func (l *Loop) gatherConfirmations() {
+	for _, number := range l.calls.Confirmed() {
+		if n := l.notices[number]; n != nil && n.unconfirmed {
+			l.confirmOutcome(number, n)
+			l.release(number, n)
+		}
+	}
+	for _, d := range l.calls.Doubts() {
+		l.doubt(d)
+	}
+	for _, receiver := range l.calls.Surplus() {
+		l.events = append(l.events, rules.SurplusHeard{Receiver: receiver})
+	}
+}
+
+// confirmOutcome lets an unconfirmed outcome hold.
+func (l *Loop) confirmOutcome(number rules.NoticeID, n *held) {
+	n.unconfirmed = false
+	if n.over {
+		l.answered--
+	}
+	l.writeOutcome(number, n)
+}
+
+// doubt takes an outcome back: neither that the notice was delivered nor that it never ran holds. One that is over gets an end at the
+// platform, which does no harm where it was delivered.
+func (l *Loop) doubt(d calls.Doubt) {
+	n := l.notices[d.Notice]
+	l.counters.Doubted++
+	l.log.Warn(logs.Doubted, "id", d.ID, "notice", d.Notice, "receiver", d.Receiver, "written_ago", l.now.Sub(d.Written),
+		"held", n != nil && !n.over)
+	switch {
+	case n == nil:
+		l.counters.GivenUp++
+		l.directory.Ended(directory.End{Notice: d.Notice, Message: d.ID, Outcome: directory.GivenUp})
+	case !n.over:
+		n.unconfirmed = false
+		l.events = append(l.events, rules.OutcomeDoubted{Notice: d.Notice, Receiver: d.Receiver, SentAgo: millis(l.now.Sub(d.Written))})
+	case n.unconfirmed:
+		n.unconfirmed = false
+		l.answered--
+		l.end(d.Notice, directory.GivenUp, 0)
+	}
+}
+
 // uncount takes back a trip that has not left.
 func (l *Loop) uncount(n *held) {
 	if n.trips > 1 {
@@ -74,6 +161,9 @@
 	}
 	zone := settings.Name(l.config.Names.Zones, int(c.Zone))
 	n := l.notices[c.Notice]
+	if n.unconfirmed { // its last trip, which may run again
+		l.confirmOutcome(c.Notice, n)
+	}
 	// By the wall clock as it was when the notice was taken, like its other times.
 	at := l.now.Add(-n.takenAt.Stepped(l.clock.Now()))
 	err := l.ledger.Trip(c.Notice, ledger.Trip{At: at, Zone: zone})
@@ -84,7 +174,7 @@
 
 // release lets go of a notice that is over and not out.
 func (l *Loop) release(number rules.NoticeID, n *held) {
-	if n.over && !n.out {
+	if n.over && !n.out && !n.unconfirmed {
 		l.heldBytes -= n.body.Held()
 		n.body.Free()
 		delete(l.notices, number)
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -612,7 +612,7 @@
 		at := stage.Clock.Now()
 		stage.Record.Change(call, func(c *audit.Call) {
 			c.Replied, c.Status, c.Wait, c.Spoilt = at, f.Status, f.wait, f.spoilt
-			c.Delivered = f.Status == 200
+			c.Delivered, c.Unfinished = f.Status == 200, f.slow
 		})
 	}
 	if !f.slow {
@@ -643,5 +643,6 @@
 			return false
 		}
 	}
+	stage.Record.Change(call, func(c *audit.Call) { c.Unfinished = false })
 	return true
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -105,15 +105,16 @@
 	NotConnected // never ran
 	Reset
 	Cancelled
-	Moot     // not sent, and counts as a trip
-	Short    // not sent, for a shortage of this sender's own: counts as no trip
-	Recalled // not sent, as it may not leave any more: counts as no trip
+	Moot      // not sent, and counts as a trip
+	Short     // not sent, for a shortage of this sender's own: counts as no trip
+	Recalled  // not sent, as it may not leave any more: counts as no trip
+	Ambiguous // an answer came that may be another call's: it may have run
 )
 
 // String names a result.
 func (r Result) String() string {
 	names := [...]string{"handled", "errored", "full", "timed out", "not connected", "reset", "cancelled", "moot", "short",
-		"recalled"}
+		"recalled", "ambiguous"}
 	return names[r]
 }
 
@@ -140,15 +141,19 @@
 	}
 	// TripEnded tells the outcome of one trip.
 	TripEnded struct {
-		Notice    NoticeID
-		Receiver  ReceiverID
-		Result    Result
-		Spent     Millis
-		Wait      Millis // with Full: told to wait so long; 0: not told
-		Over      bool   // the notice is over, by this outcome or before
-		LimitTold bool
-		LimitLeft float64 // share of the limit that is left
-		LimitRate float64 // calls a second; 0: no limit
+		Notice   NoticeID
+		Receiver ReceiverID
+		Result   Result
+		Spent    Millis
+		Wait     Millis // with Full: told to wait so long; 0: not told
+		Over     bool   // the notice is over, by this outcome or before
+		// Unconfirmed says that its connection had carried calls before: the answer is its own unless OutcomeDoubted follows.
+		Unconfirmed bool
+		// MayBeDelivered says, with Ambiguous, that one of the answers was a good one: nothing more may be sent for the notice.
+		MayBeDelivered bool
+		LimitTold      bool
+		LimitLeft      float64 // share of the limit that is left
+		LimitRate      float64 // calls a second; 0: no limit
 	}
 	// ConnectionUp says that the connection for a call has come up, and asks whether the call may still leave: the answer
 	// is Write or Recall. A call that went on an idle connection was written at once.
@@ -158,6 +163,14 @@
 		Receiver ReceiverID
 		Wait     Millis
 	}
+	// OutcomeDoubted takes back an unconfirmed outcome: the answer may have been another call's, and the trip may have run.
+	OutcomeDoubted struct {
+		Notice   NoticeID
+		Receiver ReceiverID
+		SentAgo  Millis // since the trip's call was written
+	}
+	// SurplusHeard says that a receiver sent bytes that no call had asked for.
+	SurplusHeard struct{ Receiver ReceiverID }
 	// NoticeWithdrawn says that nothing more is owed for a notice.
 	NoticeWithdrawn struct{ Notice NoticeID }
 	// ListTold brings list entries: all of them, or those that changed.
@@ -175,6 +188,8 @@
 func (TripEnded) event()       {}
 func (ConnectionUp) event()    {}
 func (WaitTold) event()        {}
+func (OutcomeDoubted) event()  {}
+func (SurplusHeard) event()    {}
 func (NoticeWithdrawn) event() {}
 func (ListTold) event()        {}
 func (ListFailed) event()      {}
--- a/rules/connections.go
+++ b/rules/connections.go
@@ -7,6 +7,9 @@
 // take few, and what many senders keep idle shuts out others: so if those of its kind refuse some, or
 // little is known of it, this sender must call often for the number of senders.
 func (s *Sender) keeps(rc *receiver) bool {
+	if s.now < rc.route.destination.surplusUntil {
+		return false
+	}
 	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
 	calls := made.calls.read(s.now, statisticsWindow)
 	if made.broke.read(s.now, statisticsWindow) <= tooMany*(calls-fewCalls) {
--- /dev/null
+++ b/rules/exchanges.go
@@ -0,0 +1,89 @@
+package rules
+
+// Which answers are surely those of their calls. HTTP/1.1 ties answers to calls by their order on a
+// connection alone: a receiver that sends more than it was asked for shifts every later answer on that
+// connection to another call.
+
+const (
+	// duplicateWithin is how long behind an answer a second copy of it is waited for.
+	duplicateWithin Millis = 50
+	// settleDelays is how many mean delays the true answer to a call is waited for, behind one that may be
+	// another call's.
+	settleDelays = 3.0
+	// settlePart is how much of a mean delay a call may wait for a connection that settles.
+	settlePart = 0.5
+	// confirmPart is how much of its quoted time a notice that must not run twice waits at least for a
+	// refusal to be confirmed.
+	confirmPart = 0.125
+	// surplusRemembered is how long no connection is reused where a receiver sent more than it was asked for.
+	surplusRemembered = 10 * statisticsWindow
+)
+
+// SettleTime is how long a connection to a receiver must have been quiet since its last answer to carry a
+// further call. The first answer on a connection is surely that of its call; a later one may be a late copy,
+// and is confirmed when the connection stays quiet for so long that the true answer would have come.
+func (s *Sender) SettleTime(id ReceiverID, first bool) Millis {
+	rc := s.receivers[id]
+	if first || rc == nil {
+		return duplicateWithin
+	}
+	return max(duplicateWithin, min(settleDelays*rc.route.mean, s.settings.Fall))
+}
+
+// WaitsToSettle tells whether a call waits for a connection that still settles rather than for a new one,
+// which costs the receiver work, and the call the time of coming up and of a handshake.
+func (s *Sender) WaitsToSettle(id ReceiverID, left, comesUp Millis) bool {
+	if rc := s.receivers[id]; rc != nil {
+		comesUp = max(comesUp, settlePart*rc.route.mean)
+	}
+	return left <= comesUp
+}
+
+// holdUnconfirmed keeps a notice that must not run twice from its next trip until the refusal of this one is
+// confirmed.
+func (s *Sender) holdUnconfirmed(n *notice, e TripEnded) {
+	if e.Unconfirmed && n.grade.Repeat == AtMostOnce {
+		n.unconfirmedUntil = s.now + max(s.SettleTime(e.Receiver, false), confirmPart*n.grade.QuotedTime)
+		n.restUntil = max(n.restUntil, n.unconfirmedUntil)
+	}
+}
+
+// outcomeDoubted takes back that a trip has not run: its answer may have been another call's.
+func (s *Sender) outcomeDoubted(e OutcomeDoubted) {
+	n := s.notices[e.Notice]
+	if n == nil || n.over {
+		return
+	}
+	n.ran++
+	if !n.mayHaveRun {
+		n.mayHaveRun, n.ranAt = true, s.now-e.SentAgo
+		if rc := s.receivers[e.Receiver]; rc != nil {
+			n.ranZone = rc.zone
+		} else {
+			n.zoneUnknown = true
+		}
+	}
+	if k := s.keys[n.key]; k != nil {
+		k.restUntil = max(k.restUntil, s.now+s.settings.KeyRest)
+	}
+	if n.waits {
+		s.unsort(n)
+		s.sort(n)
+	}
+}
+
+// surplusHeard heeds that a receiver sent more than it was asked for: calls to its destination have connections
+// of their own.
+func (s *Sender) surplusHeard(e SurplusHeard) {
+	rc := s.receivers[e.Receiver]
+	if rc == nil {
+		return
+	}
+	d := rc.route.destination
+	d.surplusUntil = s.now + surplusRemembered
+	for _, r := range d.routes {
+		for _, other := range r.receivers {
+			s.do(LetGo{other.id})
+		}
+	}
+}
--- a/rules/notices.go
+++ b/rules/notices.go
@@ -65,7 +65,7 @@
 // have run is broken off.
 func (s *Sender) end(n *notice, back Millis, forRoom bool) {
 	n.grade.asked.add(s.now, statisticsWindow, n.credit)
-	if n.mayHaveRun || n.out != nil {
+	if n.mayHaveRun || n.out != nil || s.now < n.unconfirmedUntil {
 		s.do(BreakOff{n.id})
 	} else {
 		d := Dismiss{Notice: n.id, ForRoom: forRoom}
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -13,7 +13,7 @@
 	n.out = nil
 	s.settleCall(c, e)
 	mayRun := e.Result != Full && e.Result != NotConnected && e.Result != Moot && !unsent(e.Result)
-	if k := s.keys[n.key]; k != nil && (e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled) {
+	if k := s.keys[n.key]; k != nil && mayStillRun(e.Result) {
 		k.restUntil = s.now + s.settings.KeyRest
 	}
 	if unsent(e.Result) {
@@ -42,14 +42,26 @@
 			n.mayHaveRun, n.ranAt, n.ranZone = true, c.sentAt, c.receiver.zone
 		}
 	}
+	if e.MayBeDelivered {
+		s.end(n, s.now, false)
+		return
+	}
 	// How often a further trip is made follows how many of the recent ones succeeded.
 	if e.Result != Full && e.Result != Moot && !unsent(e.Result) {
 		succeeded := (s.won.read(s.now, statisticsWindow) + 1) / (s.further.read(s.now, statisticsWindow) + 1)
 		n.restUntil = s.now + n.grade.QuotedTime/16*Millis(1/succeeded-1)
 	}
+	if !mayRun {
+		s.holdUnconfirmed(n, e)
+	}
 	s.wait(n)
 }
 
+// mayStillRun tells an outcome of which the call may go on at its receiver.
+func mayStillRun(result Result) bool {
+	return result == TimedOut || result == Reset || result == Cancelled || result == Ambiguous
+}
+
 // unsent tells an outcome that counts as no trip.
 func unsent(result Result) bool { return result == Short || result == Recalled }
 
@@ -93,7 +105,7 @@
 	case e.Result == Full:
 		s.earn(c.receiver, 1)
 		s.refused(r, c, e.Wait)
-	case e.Result == Moot || unsent(e.Result) || e.Result == Cancelled && !c.off,
+	case e.Result == Moot || e.Result == Ambiguous || unsent(e.Result) || e.Result == Cancelled && !c.off,
 		e.Result == TimedOut && c.curbed:
 		s.earn(c.receiver, 1)
 	default:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -70,6 +70,10 @@
 			if rc := s.receivers[e.Receiver]; rc != nil {
 				s.waitTold(rc.route, e.Wait)
 			}
+		case OutcomeDoubted:
+			s.outcomeDoubted(e)
+		case SurplusHeard:
+			s.surplusHeard(e)
 		case NoticeWithdrawn:
 			if n := s.notices[e.Notice]; n != nil {
 				s.forget(n)
--- a/rules/state.go
+++ b/rules/state.go
@@ -115,10 +115,11 @@
 }
 
 type destination struct {
-	id    DestinationID
-	kind  *kind
-	held  int      // notices of its own that are not over
-	zones []ZoneID // in which receivers of it were ever listed
+	id           DestinationID
+	kind         *kind
+	held         int      // notices of its own that are not over
+	surplusUntil Millis   // its receivers sent more than they were asked for: until then no connection is used again
+	zones        []ZoneID // in which receivers of it were ever listed
 
 	waiting []*notice // held and not out, in no order
 	plain   byUntil   // of these, those that no earlier trip, rest or key holds back: the first to end in front
@@ -160,6 +161,7 @@
 	ranAt                      Millis // the first trip that may have run
 	ranZone                    ZoneID
 	over                       bool
+	unconfirmedUntil           Millis // its last trip may turn out to have run
 	opens                      Millis // as found out in this turn
 	order                      uint64 // in which it was taken
 	waits, isPlain             bool   // it is in its destination's lists
