The platform's answers: a copied 204 takes no ends, an older list brings nothing back

Seen in a new test: a copy of the 204 to the request before counted as the answer to the next ends, which the platform had answered 500, so a notice had no end there; a copy of an earlier whole list brought a receiver back that was gone. Now each request with ends has a connection of its own, and a list older than the last on a connection that was used before is passed over and the whole list asked for on a new one.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -184,7 +184,7 @@
 func New(address string, l limits.Limits, pool *buffers.Pool, r *Receivers, revision int64) *Directory {
 	d := &Directory{limits: l, pool: pool, address: address, receivers: r, revision: revision}
 	d.watch = exchange{d: d, body: l.List, done: d.listed, failed: func() { d.failed = true }}
-	d.ends = exchange{d: d, body: l.Body, done: d.accepted, failed: func() { d.sent = 0 }}
+	d.ends = exchange{d: d, body: l.Body, once: true, done: d.accepted, failed: func() { d.sent = 0 }}
 	return d
 }
 
@@ -266,13 +266,18 @@
 	return next
 }
 
-// listed takes a list. A broken one is passed over: the last list holds, and the watch goes on after a pause.
+// listed takes a list. A broken one is passed over: the last list holds, and the watch goes on after a pause. So is one that is
+// older than the last: it may be a copy of an earlier answer, and the whole list is asked for on another connection.
 func (d *Directory) listed(m *http1.Message) bool {
 	var list List
 	err := json.Unmarshal(m.Body.AppendTo(nil), &list)
 	if m.Status != 200 {
 		err = fmt.Errorf("status %d", m.Status)
 	}
+	if err == nil && !d.anew && list.Revision < d.revision && d.watch.carried > 1 {
+		d.anew = true
+		err = fmt.Errorf("revision %d after %d", list.Revision, d.revision)
+	}
 	var told rules.ListTold
 	if err == nil {
 		told, err = d.receivers.Told(list)
@@ -323,17 +328,19 @@
 type exchange struct {
 	d      *Directory
 	body   int
+	once   bool // each request has a connection of its own, so that no answer can be another request's
 	done   func(*http1.Message) bool
 	failed func()
 
-	conn   *sockets.Conn
-	parser *http1.Parser
-	up     bool
-	asked  bool      // a request is under way
-	began  time.Time // when it was asked
-	due    time.Time
-	pause  time.Duration
-	out    []byte
+	conn    *sockets.Conn
+	parser  *http1.Parser
+	up      bool
+	carried int       // requests on this connection
+	asked   bool      // a request is under way
+	began   time.Time // when it was asked
+	due     time.Time
+	pause   time.Duration
+	out     []byte
 }
 
 // step writes the next request when it is time, on a new connection if need be, and gives up a late one.
@@ -348,10 +355,11 @@
 	}
 	if x.conn == nil {
 		x.parser = http1.NewParser(x.d.pool, true, l.Head, l.Fields, x.body)
-		x.conn, x.up = x.d.net.Dial(x.d.address, l.ConnectTime, l.Head+x.body, x), false
+		x.conn, x.up, x.carried = x.d.net.Dial(x.d.address, l.ConnectTime, l.Head+x.body, x), false, 0
 		x.due = x.d.now.Add(2 * l.ConnectTime)
 		return
 	}
+	x.carried++
 	x.out = request(x.out[:0])
 	x.asked, x.began, x.due = true, x.d.now, x.d.now.Add(patience)
 	x.conn.Write(x.out)
@@ -419,7 +427,7 @@
 		return
 	}
 	x.pause = 0
-	if closes || m.Close {
+	if closes || m.Close || x.once {
 		x.end()
 	}
 }
