Connections carry the next call 50 ms behind an answer, and outcomes are confirmed later

A notice that was turned away waits for the confirmation whatever its grade, so that no two calls for it are out. A test kills the sender between an answer and its confirmation. go test -race of the packages passes.

--- a/cmd/chuteweir/exchanges_test.go
+++ b/cmd/chuteweir/exchanges_test.go
@@ -339,3 +339,24 @@
 		})
 	}
 }
+
+func TestUnconfirmedAnswerIsInDoubtAfterAKill(t *testing.T) {
+	w := begin(t)
+	answered := make(chan bool, 1)
+	w.listenScripted(1, func(c receivedCall) bool {
+		c.answer(200, "") // of the second call this is a copy of the first one's
+		if c.number == 2 {
+			answered <- true
+			time.Sleep(time.Second)
+		}
+		return true
+	})
+	w.hand("order", "first", 9000, firstScripted)
+	time.Sleep(200 * time.Millisecond)
+	w.hand("order", "second", 9000, firstScripted)
+	<-answered
+	time.Sleep(10 * time.Millisecond)
+	w.kill()
+	w.start()
+	w.await(1, `platform: {"message":"second","outcome":"given_up"}`)
+}
--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -230,7 +230,7 @@
 		if e.Unconfirmed = e.Result != rules.Errored; !e.Unconfirmed {
 			state = mayHaveRun
 		}
-		l.remember(l.call, m.Status, p.settleTime(l), state)
+		l.remember(l.call, m.Status, p.hooks.ConfirmTime(l.receiver), state)
 	}
 	p.endCall(l, e)
 }
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -105,8 +105,8 @@
 type Hooks struct {
 	// Record is asked just before a call is written; its error keeps the call from leaving.
 	Record func(*Call) error
-	// SettleTime is how long a connection must have been quiet since its first or a later answer to carry a further call.
-	SettleTime func(receiver rules.ReceiverID, first bool) time.Duration
+	// ConfirmTime is how long behind an answer of a receiver the true one would have come, if that was another call's.
+	ConfirmTime func(receiver rules.ReceiverID) time.Duration
 	// WaitsToSettle tells whether a call waits for a connection that has settled when left is over, rather than for a new one, of
 	// which the last took comesUp to come up.
 	WaitsToSettle func(receiver rules.ReceiverID, left, comesUp time.Duration) bool
@@ -243,7 +243,6 @@
 // write writes the call of a connection. What has come by then would be taken for its answer: the call is taken back then.
 func (p *Pool) write(l *connection) {
 	c := l.call
-	p.confirm(l)
 	if err := p.hooks.Record(c); err != nil {
 		p.drop(l, "trip not recorded")
 		p.end(c, rules.Short)
--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -30,9 +30,7 @@
 	answers  chan string
 	calls    rules.NoticeID
 	trace    strings.Builder
-	// settleTime is how long connections settle behind an answer.
-	settleTime time.Duration
-	waits      bool // calls wait for connections that settle
+	waits    bool // calls wait for connections that settle
 }
 
 func begin(t *testing.T) *stage {
@@ -63,10 +61,11 @@
 		}
 	}()
 	l := limits.For(limits.Machine{}, rules.Settings{IdleKept: 10_000}, 1000)
+	l.SettleTime = 0
 	pool := buffers.NewPool(l.Buffer)
 	s.pool = New(l, pool, []string{"x0", "x1"}, slog.New(slog.DiscardHandler), Hooks{
 		Record:        func(*Call) error { return nil },
-		SettleTime:    func(rules.ReceiverID, bool) time.Duration { return s.settleTime },
+		ConfirmTime:   func(rules.ReceiverID) time.Duration { return confirmTime },
 		WaitsToSettle: func(rules.ReceiverID, time.Duration, time.Duration) bool { return s.waits }})
 	if s.net, err = sockets.Start("127.0.0.1:0", l, pool, s.pool); err != nil {
 		t.Fatal(err)
@@ -76,6 +75,9 @@
 	return s
 }
 
+// confirmTime is how long outcomes are unconfirmed on used connections.
+const confirmTime = 100 * time.Millisecond
+
 // call makes a call and writes down what it came to, and what is left of its connection.
 func (s *stage) call(answer string) {
 	s.calls++
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -178,7 +178,7 @@
 	l.conn.Close()
 	l.parser.Free()
 	delete(p.connections, l.conn)
-	p.confirm(l)
+	p.confirm(l, func(exchange) bool { return true })
 	p.removeIdle(l)
 }
 
@@ -196,11 +196,11 @@
 // answer's body does not end.
 func (p *Pool) Sweep() {
 	for _, l := range p.connections {
-		p.confirmSettled(l)
-		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime && p.settled(l) {
+		p.confirmOld(l)
+		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime && !(l.surplus && p.awaited(l)) {
 			p.doubtCut(l)
 			p.drop(l, "answer does not end")
-		} else if l.retired && p.settled(l) && p.now.Sub(l.heard) > p.limits.RestTime {
+		} else if l.retired && !p.awaited(l) && p.now.Sub(l.heard) > p.limits.RestTime {
 			p.drop(l, "retired")
 		}
 	}
--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -19,7 +19,7 @@
 	due     time.Time // its true answer comes no later
 	written time.Time
 	heard   time.Time     // when that was
-	settles time.Duration // how long the connection settled behind it
+	confirm time.Duration // how long behind it the true answer would have come
 	state   exchangeState
 }
 
@@ -44,10 +44,6 @@
 // exchangesKept is how many answered calls a connection remembers at most.
 const exchangesKept = 32
 
-// shiftedWithin is how many times the settling time a connection may have stood unused between two calls of which the second may
-// have been booked with the answer to the first.
-const shiftedWithin = 2
-
 // Confirmed hands over the notices whose unconfirmed outcomes hold, since the last time.
 func (p *Pool) Confirmed() []rules.NoticeID {
 	confirmed := p.confirmed
@@ -70,21 +66,17 @@
 }
 
 // remember notes an outcome that may be another call's.
-func (l *connection) remember(c *Call, status int, settles time.Duration, state exchangeState) {
+func (l *connection) remember(c *Call, status int, confirm time.Duration, state exchangeState) {
 	if len(l.exchanges) == exchangesKept {
 		l.exchanges = slices.Delete(l.exchanges, 0, 1)
 	}
 	l.exchanges = append(l.exchanges, exchange{notice: c.Notice, id: c.ID, status: status, due: c.due, written: l.wrote, heard: l.heard,
-		settles: settles, state: state})
+		confirm: confirm, state: state})
 }
 
 // settle lets a connection settle behind an answer.
 func (p *Pool) settle(l *connection) {
-	l.settledAt = l.heard.Add(p.settleTime(l))
-}
-
-func (p *Pool) settleTime(l *connection) time.Duration {
-	return p.hooks.SettleTime(l.receiver, l.carried == 1)
+	l.settledAt = l.heard.Add(p.limits.SettleTime)
 }
 
 // settled tells whether a connection has settled, as far as its time goes.
@@ -120,37 +112,38 @@
 	return next
 }
 
-// confirmSettled lets the outcomes of a connection hold if it has settled and nothing has come on it.
-func (p *Pool) confirmSettled(l *connection) {
-	open := func(e exchange) bool { return e.state == unconfirmed }
-	if !l.rest && p.settled(l) && slices.ContainsFunc(l.exchanges, open) && l.conn.Quiet() {
-		p.confirm(l)
+// confirmOld lets outcomes of a connection hold of which the true answers would have come by now.
+func (p *Pool) confirmOld(l *connection) {
+	old := func(e exchange) bool { return e.state == unconfirmed && p.now.Sub(e.heard) >= e.confirm }
+	if !l.rest && slices.ContainsFunc(l.exchanges, old) && l.conn.Quiet() {
+		p.confirm(l, old)
 	}
 }
 
-// confirm lets the outcomes of a connection hold.
-func (p *Pool) confirm(l *connection) {
+// confirm lets outcomes of a connection hold.
+func (p *Pool) confirm(l *connection, which func(exchange) bool) {
 	for i := range l.exchanges {
-		if e := &l.exchanges[i]; e.state == unconfirmed {
+		if e := &l.exchanges[i]; e.state == unconfirmed && which(*e) {
 			e.state = confirmed
 			p.confirmed = append(p.confirmed, e.notice)
 		}
 	}
 }
 
-// doubt takes outcomes back that don't hold if an answer with another status was the true one to the last call. The true answer to
-// each call before was then booked on the call behind it, which must have been written soon enough for that.
+// awaited tells whether the true answer to a call may still come on a connection.
+func (p *Pool) awaited(l *connection) bool {
+	return slices.ContainsFunc(l.exchanges, func(e exchange) bool { return p.now.Sub(e.heard) < e.confirm })
+}
+
+// doubt takes outcomes back that don't hold if an answer with another status was the true one to the last call, and so the answer to each
+// call before was booked on the call behind it.
 func (p *Pool) doubt(l *connection, status int) {
-	var written time.Time // of the call behind
 	for i := len(l.exchanges) - 1; i >= 0; i-- {
 		e := &l.exchanges[i]
-		if e.due.Before(p.now) || !written.IsZero() && written.Sub(e.heard) > shiftedWithin*e.settles {
-			return
-		}
-		if e.status != status {
+		if e.status != status && e.due.After(p.now) {
 			p.takeBack(l, e)
 		}
-		status, written = e.status, e.written
+		status = e.status
 	}
 }
 
@@ -181,7 +174,7 @@
 }
 
 // hearSurplus ends the use of a connection on which something came unasked. Where that may be the true answer to a call whose
-// booked one was another's, it is heard until the connection has settled.
+// booked one was another's, it is heard for as long as that may come.
 func (p *Pool) hearSurplus(l *connection, b []byte) {
 	if l.carried <= 1 {
 		p.drop(l, "said something unasked")
@@ -189,11 +182,10 @@
 	}
 	p.removeIdle(l)
 	l.givenUp, l.surplus, l.since, l.waitUntil = true, true, p.now, time.Time{}
-	p.settle(l)
 	p.hearLate(l, b)
 }
 
-// retire keeps a connection from being used again; what still comes on it is heard until it has settled.
+// retire keeps a connection from being used again; what still comes on it is heard for a while.
 func (p *Pool) retire(l *connection) {
 	p.removeIdle(l)
 	l.retired = true
@@ -201,10 +193,10 @@
 
 // letGo closes an idle connection, once its outcomes are confirmed.
 func (p *Pool) letGo(l *connection, why string) {
-	if p.settled(l) || len(l.exchanges) == 0 {
-		p.drop(l, why)
-	} else {
+	if p.awaited(l) {
 		p.retire(l)
+	} else {
+		p.drop(l, why)
 	}
 }
 
--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -13,10 +13,13 @@
 	"chuteweir.example/chuteweir/rules"
 )
 
+// settleTime is how long connections settle behind an answer.
+const settleTime = 40 * time.Millisecond
+
 // scripted makes the stage's receiver one that a test answers for: each call that it reads is handed over with its connection.
 func scripted(t *testing.T) (*stage, chan net.Conn) {
 	s := begin(t)
-	s.settleTime = 40 * time.Millisecond
+	s.pool.limits.SettleTime = settleTime
 	receiver, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -75,7 +78,7 @@
 	s.send()
 	c := s.readBy(read)
 	say(c, 200, "")
-	s.turns(2 * s.settleTime)
+	s.turns(2 * settleTime)
 	s.tell("first")
 	return c
 }
@@ -205,7 +208,7 @@
 	if again := s.readBy(read); again != c {
 		t.Error("another connection was made")
 	}
-	if waited := time.Since(answered); waited < s.settleTime-5*time.Millisecond {
+	if waited := time.Since(answered); waited < settleTime-5*time.Millisecond {
 		t.Errorf("written %v behind an answer", waited)
 	}
 	say(c, 200, "")
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -48,6 +48,7 @@
 	Turn         time.Duration // between the beginnings of two turns of a busy loop
 	Sweep        time.Duration // between looks for what has taken too long
 	Lag          time.Duration // a turn so long after the last one, or so old, may not know what has come
+	SettleTime   time.Duration // a connection to a receiver stays unused behind an answer
 	WriteTime    time.Duration // a call whose writing took longer may have been held up: what has come by then is not its answer
 	Unheard      time.Duration // until it is looked again whether what has come on a connection was heard
 	Stall        time.Duration // the process may be held up for so long between reading its clock and writing
@@ -105,6 +106,7 @@
 		Turn:         span(s.Tick / 2),
 		Sweep:        100 * time.Millisecond,
 		Lag:          20 * time.Millisecond,
+		SettleTime:   span(rules.SettleTime),
 		WriteTime:    time.Millisecond,
 		Unheard:      time.Millisecond,
 		Stall:        150 * time.Millisecond,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -102,7 +102,7 @@
 	l.config.Settings.Stall = millis(c.Limits.Stall)
 	l.sender = rules.New(c.Seed, l.config.Settings)
 	l.intake = intake.New(c.Limits, l.buffers, c.Names, l.receivers.Knows, func() string { return l.counted().Page() })
-	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, calls.Hooks{Record: l.record, SettleTime: l.settleTime, WaitsToSettle: l.waitsToSettle})
+	l.calls = calls.New(c.Limits, l.buffers, c.Names.Report, log, calls.Hooks{Record: l.record, ConfirmTime: l.confirmTime, WaitsToSettle: l.waitsToSettle})
 	l.directory = directory.New(c.Discovery, c.Limits, l.buffers, l.receivers, c.Known.Revision)
 	known := c.Known
 	known.Complete = true
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -64,9 +64,9 @@
 	return r == rules.Full || r == rules.NotConnected || r == rules.Moot || r == rules.Short || r == rules.Recalled
 }
 
-// settleTime is how long a connection must have been quiet since an answer to carry a further call.
-func (l *Loop) settleTime(receiver rules.ReceiverID, first bool) time.Duration {
-	return span(l.sender.SettleTime(receiver, first))
+// confirmTime is how long behind an answer of a receiver the true one would have come, if that was another call's.
+func (l *Loop) confirmTime(receiver rules.ReceiverID) time.Duration {
+	return span(l.sender.ConfirmTime(receiver))
 }
 
 // waitsToSettle tells whether a call waits for a connection that still settles rather than for a new one.
--- a/rules/connections.go
+++ b/rules/connections.go
@@ -10,14 +10,20 @@
 	if s.now < rc.route.destination.surplusUntil {
 		return false
 	}
-	made, often := &rc.route.destination.kind.made, evenKeeping*float64(s.settings.Senders)
-	calls := made.calls.read(s.now, statisticsWindow)
-	if made.broke.read(s.now, statisticsWindow) <= tooMany*(calls-fewCalls) {
+	often := evenKeeping * float64(s.settings.Senders)
+	if !s.scarce(rc) {
 		often = min(often, keeping)
 	}
 	return rc.used.read(s.now, s.settings.IdleKept) >= often
 }
 
+// scarce tells whether destinations of a receiver's kind refuse connections, or may: little is known of them.
+func (s *Sender) scarce(rc *receiver) bool {
+	made := &rc.route.destination.kind.made
+	calls := made.calls.read(s.now, statisticsWindow)
+	return made.broke.read(s.now, statisticsWindow) > tooMany*(calls-fewCalls)
+}
+
 // distrustsIdle tells whether idle connections break more often by far than others: then something between
 // forgets them, and what goes out on one is lost, for good if it must not run twice.
 func (s *Sender) distrustsIdle() bool {
--- a/rules/exchanges.go
+++ b/rules/exchanges.go
@@ -5,11 +5,12 @@
 // connection to another call.
 
 const (
-	// duplicateWithin is how long behind an answer a second copy of it is waited for.
-	duplicateWithin Millis = 50
-	// settleDelays is how many mean delays the true answer to a call is waited for, behind one that may be
+	// SettleTime is how long a connection must have been quiet since an answer to carry a further call: a
+	// second copy of an answer usually comes within that time.
+	SettleTime Millis = 50
+	// confirmDelays is how many mean delays the true answer to a call is waited for, behind one that may be
 	// another call's.
-	settleDelays = 3.0
+	confirmDelays = 3.0
 	// settlePart is how much of a mean delay a call may wait for a connection that settles.
 	settlePart = 0.5
 	// confirmPart is how much of its quoted time a notice that must not run twice waits at least for a
@@ -19,15 +20,14 @@
 	surplusRemembered = 10 * statisticsWindow
 )
 
-// SettleTime is how long a connection to a receiver must have been quiet since its last answer to carry a
-// further call. The first answer on a connection is surely that of its call; a later one may be a late copy,
-// and is confirmed when the connection stays quiet for so long that the true answer would have come.
-func (s *Sender) SettleTime(id ReceiverID, first bool) Millis {
+// ConfirmTime is how long behind an answer the true one would have come, if it was another call's. The
+// first answer on a connection is surely that of its call; a later one may be a late copy.
+func (s *Sender) ConfirmTime(id ReceiverID) Millis {
 	rc := s.receivers[id]
-	if first || rc == nil {
-		return duplicateWithin
+	if rc == nil {
+		return SettleTime
 	}
-	return max(duplicateWithin, min(settleDelays*rc.route.mean, s.settings.Fall))
+	return max(SettleTime, min(confirmDelays*rc.route.mean, s.settings.Fall))
 }
 
 // WaitsToSettle tells whether a call waits for a connection that still settles rather than for a new one,
@@ -39,13 +39,17 @@
 	return left <= comesUp
 }
 
-// holdUnconfirmed keeps a notice that must not run twice from its next trip until the refusal of this one is
-// confirmed.
+// holdUnconfirmed keeps a notice from its next trip until it is confirmed that this one has not run.
 func (s *Sender) holdUnconfirmed(n *notice, e TripEnded) {
-	if e.Unconfirmed && n.grade.Repeat == AtMostOnce {
-		n.unconfirmedUntil = s.now + max(s.SettleTime(e.Receiver, false), confirmPart*n.grade.QuotedTime)
-		n.restUntil = max(n.restUntil, n.unconfirmedUntil)
+	if !e.Unconfirmed {
+		return
+	}
+	wait := s.ConfirmTime(e.Receiver)
+	if n.grade.Repeat == AtMostOnce {
+		wait = max(wait, confirmPart*n.grade.QuotedTime)
 	}
+	n.unconfirmedUntil = s.now + wait
+	n.restUntil = max(n.restUntil, n.unconfirmedUntil)
 }
 
 // outcomeDoubted takes back that a trip has not run: its answer may have been another call's.
@@ -72,8 +76,8 @@
 	}
 }
 
-// surplusHeard heeds that a receiver sent more than it was asked for: calls to its destination have connections
-// of their own.
+// surplusHeard heeds that a receiver sent more than it was asked for: calls to its destination have
+// connections of their own.
 func (s *Sender) surplusHeard(e SurplusHeard) {
 	rc := s.receivers[e.Receiver]
 	if rc == nil {
