--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -132,6 +132,9 @@
 // At sets the time for what comes next.
 func (p *Pool) At(now time.Time) { p.now = now }
 
+// Made is the number of connections that were begun.
+func (p *Pool) Made() int { return int(p.made) }
+
 // Out is the number of calls without an outcome.
 func (p *Pool) Out() int { return len(p.out) }
 
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -64,11 +64,12 @@
 		return
 	}
 	c := l.call
-	switch {
-	case (c != nil || l.rest) && l.parser.End() == nil:
+	if (c != nil || l.rest) && l.parser.End() == nil {
 		p.answered(l, l.parser.Take(), nil, true)
 		return
-	case c != nil && !c.written && l.carried > 0:
+	}
+	p.doubtBroken(l)
+	if c != nil && !c.written && l.carried > 0 {
 		l.call = nil
 		p.drop(l, "ended while it settled")
 		p.connect(c)
--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -155,6 +155,16 @@
 	}
 }
 
+// doubtBroken takes back that notices were delivered whose true answers may have been on their way as their connection broke.
+func (p *Pool) doubtBroken(l *connection) {
+	for i := range l.exchanges {
+		e := &l.exchanges[i]
+		if e.state == unconfirmed && !refusal(e.status) && p.now.Sub(e.heard) < min(e.confirm, p.limits.BreakTime) {
+			p.takeBack(l, e)
+		}
+	}
+}
+
 // doubtCut takes back what the head of an answer has told that did not come whole: it may be a part of an earlier call's.
 func (p *Pool) doubtCut(l *connection) {
 	if l.rest && l.unsure() && len(l.exchanges) > 0 {
--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -256,3 +256,22 @@
 	s.tell("told")
 	s.check("first: 1 handled, 0 surplus\ntold: 0 surplus")
 }
+
+func TestGoodAnswerBehindWhichTheConnectionBreaksIsInDoubt(t *testing.T) {
+	s, read := scripted(t)
+	c := s.used(read)
+	s.send()
+	s.readBy(read)
+	say(c, 200, "")
+	s.turns(20 * time.Millisecond)
+	s.tell("answered")
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+	s.turns(20 * time.Millisecond)
+	s.tell("broken")
+	s.check(`
+first: 1 handled, 0 surplus
+answered: 2 handled unconfirmed, 0 surplus
+broken: 2 doubted, 0 surplus
+`)
+}
--- a/internal/loop/counters.go
+++ b/internal/loop/counters.go
@@ -20,6 +20,7 @@
 	Short, ForRoom                                     int // calls not sent for a shortage of ours; notices dismissed to make room
 	Spoilt, Beyond, Stale                              int // answers and connections that calls could not use
 	Unasked                                            int // connections of receivers that said more than was asked
+	Connections                                        int // begun to receivers
 	Ambiguous, Doubted                                 int // answers that may be other calls': told so at once, and later
 	Unheard                                            int // buffers read from connections that were closed meanwhile
 	Recalled                                           int // calls taken back as their connections came up
@@ -47,7 +48,7 @@
 		slog.Int("short", c.Short), slog.Int("dismissed_for_room", c.ForRoom),
 		slog.Int("written_in_wait", c.InWait), slog.Int("recalled", c.Recalled),
 		slog.Int("unheard", c.Unheard), slog.Int("handled_late", c.HandledLate), slog.Int("unasked", c.Unasked),
-		slog.Int("ambiguous", c.Ambiguous), slog.Int("doubted", c.Doubted),
+		slog.Int("connections", c.Connections), slog.Int("ambiguous", c.Ambiguous), slog.Int("doubted", c.Doubted),
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -387,6 +387,7 @@
 	c.Out, c.Held = l.calls.Out(), len(l.notices)-l.answered
 	c.Refused = c.Unreadable + c.Unknown + c.Malformed + c.Late + c.Leaving + c.Repeated + c.NoRoom
 	c.BrokenAnswers, c.Unheard = l.directory.Broken, l.net.Unheard()
+	c.Connections = l.calls.Made()
 	c.Spoilt, c.Beyond, c.Stale, c.Unasked = l.calls.Spoilt, l.calls.Beyond, l.calls.Stale, l.calls.Unasked
 	return c
 }
