--- a/cmd/chuteweir/exchanges_test.go
+++ b/cmd/chuteweir/exchanges_test.go
@@ -360,3 +360,45 @@
 	w.start()
 	w.await(1, `platform: {"message":"second","outcome":"given_up"}`)
 }
+
+func TestEndOfANoticeWithAnUnconfirmedRefusalOutlivesAKill(t *testing.T) {
+	const destinations = 8
+	w := begin(t)
+	w.set(func() { w.takes = false })
+	w.listenScripted(destinations, func(c receivedCall) bool {
+		status := http.StatusOK
+		if c.number > 1 {
+			status = http.StatusServiceUnavailable
+		}
+		c.answer(status, "")
+		return true
+	})
+	for i := range destinations {
+		w.hand("order", fmt.Sprint("first-", i), 9000, firstScripted+i)
+	}
+	time.Sleep(200 * time.Millisecond)
+	for i := range destinations {
+		w.hand("order", fmt.Sprint("refused-", i), 100, firstScripted+i)
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.kill()
+	w.hear(nil)
+	w.set(func() { w.takes = true })
+	w.start()
+	for i := range destinations {
+		w.awaitText(fmt.Sprintf(`{"message":"refused-%d","outcome":"given_up"}`, i))
+	}
+}
+
+// awaitText waits until the trace holds a text.
+func (w *world) awaitText(text string) {
+	w.t.Helper()
+	for range 200 {
+		if strings.Contains(strings.Join(w.heard(), "\n"), text) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatalf("no %s in\n%s\n%s", text, strings.Join(w.heard(), "\n"), w.log)
+}
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -138,7 +138,6 @@
 		n.unconfirmed = false
 		l.events = append(l.events, rules.OutcomeDoubted{Notice: d.Notice, Receiver: d.Receiver, SentAgo: millis(l.now.Sub(d.Written))})
 	case n.unconfirmed:
-		n.unconfirmed = false
 		l.answered--
 		l.end(d.Notice, directory.GivenUp, 0)
 	}
@@ -196,6 +195,7 @@
 		l.keep(l.ledger.Ended(number, outcome, float64(retryAfter)))
 		l.directory.Ended(directory.End{Notice: number, Message: n.id, Outcome: outcome, RetryInMS: float64(retryAfter)})
 	}
+	n.unconfirmed = false // whatever its last trip came to, it has its end
 	n.over = true
 	l.release(number, n)
 }
