--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -71,6 +71,7 @@
 	restored     []ledger.Notice // owed from before the start, not told to the decisions yet
 	heldBytes    int
 	ids          recent
+	ended        recent      // the ids of notices that have their ends: none is told twice
 	timers       []time.Time // asked for by the decisions
 	events       []rules.Event
 	sweepAt      time.Time
@@ -89,6 +90,7 @@
 	l.tracing = log.Enabled(context.Background(), slog.LevelDebug)
 	for _, g := range c.Settings.Grades {
 		l.ids.span = max(l.ids.span, span(g.ClientTimeout))
+		l.ended.span = l.ids.span
 	}
 	// A call needs a connection, and an answer's rest may hold one for a while: slots beyond that would be a promise.
 	if most := c.Limits.Receivers - c.Limits.Receivers/16; l.config.Settings.Slots > most {
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -131,7 +131,9 @@
 	l.log.Warn(logs.Doubted, "id", d.ID, "notice", d.Notice, "receiver", d.Receiver, "written_ago", l.now.Sub(d.Written),
 		"held", n != nil && !n.over)
 	switch {
+	case n == nil && l.ended.has(d.ID):
 	case n == nil:
+		l.ended.add(d.ID, l.now)
 		l.counters.GivenUp++
 		l.directory.Ended(directory.End{Notice: d.Notice, Message: d.ID, Outcome: directory.GivenUp})
 	case !n.over:
@@ -192,6 +194,7 @@
 		if l.tracing {
 			l.log.Debug(logs.Ended, "id", n.id, "notice", number, "outcome", outcome, "retry_in_ms", float64(retryAfter))
 		}
+		l.ended.add(n.id, l.now)
 		l.keep(l.ledger.Ended(number, outcome, float64(retryAfter)))
 		l.directory.Ended(directory.End{Notice: number, Message: n.id, Outcome: outcome, RetryInMS: float64(retryAfter)})
 	}
