An ambiguous call that is sent again is over first; trial: a sender's last lines are read under its lock

A call whose answers contradict each other without a 200 may be sent again, while its connection was kept open to be listened to: its receiver might hold it still, and the second call would be a copy. Its connection is closed now.

--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -137,6 +137,11 @@
 	return l.early || l.unsure() && slices.ContainsFunc(l.statuses, other)
 }
 
+// mayBeDelivered tells whether one of the answers that were heard for a call said 200, or may yet.
+func (l *connection) mayBeDelivered(status int) bool {
+	return l.early || status == http.StatusOK || slices.Contains(l.statuses, http.StatusOK)
+}
+
 // appendStatuses appends the statuses of all status lines in b but those of interim answers.
 func appendStatuses(statuses []int, b []byte) []int {
 	const version, line = "HTTP/1.", "HTTP/1.1 200"
@@ -177,6 +182,8 @@
 	if len(behind) > 0 && !m.Close {
 		p.Beyond++
 	}
+	// A call must be over at its receiver before it is sent again.
+	sentAgain := l.call != nil && l.contradicted(m.Status) && !l.mayBeDelivered(m.Status)
 	if l.call != nil {
 		p.outcome(l, m)
 	}
@@ -185,6 +192,8 @@
 	}
 	l.rest, l.since = false, p.now
 	switch {
+	case len(behind) > 0 && sentAgain:
+		p.drop(l, "its call may be sent again")
 	case len(behind) > 0:
 		p.hearSurplus(l, behind)
 	case m.Close || ended || l.early:
@@ -202,7 +211,7 @@
 func (p *Pool) outcome(l *connection, m *http1.Message) {
 	e := rules.TripEnded{Result: rules.Errored}
 	if l.contradicted(m.Status) {
-		e.Result, e.MayBeDelivered = rules.Ambiguous, l.early || m.Status == 200 || slices.Contains(l.statuses, 200)
+		e.Result, e.MayBeDelivered = rules.Ambiguous, l.mayBeDelivered(m.Status)
 		if refusal(m.Status) {
 			e.Wait = p.waitLeft(l, m)
 		}
--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -130,7 +130,7 @@
 	for began := time.Now(); time.Since(began) < 15*time.Second; time.Sleep(5 * time.Millisecond) {
 		select {
 		case <-exited:
-			return fmt.Errorf("sender %d ended before it served: %s", s.number, strings.Join(s.last, "\n"))
+			return fmt.Errorf("sender %d ended before it served: %s", s.number, s.lastLines())
 		default:
 		}
 		answer, err := client.Get("http://" + s.address + "/up")
@@ -146,7 +146,14 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("sender %d does not serve: %s", s.number, strings.Join(s.last, "\n"))
+	return fmt.Errorf("sender %d does not serve: %s", s.number, s.lastLines())
+}
+
+// lastLines is the end of the sender's log.
+func (s *Sender) lastLines() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.last, "\n")
 }
 
 // read keeps the log and takes the breakers' changes out of it.
