The first answer on a connection is its call's, however long the writing took

Writing a call took over a millisecond there, and the answer had come by the time of the look behind it, so it counted as ambiguous. On a connection without calls before nothing can be an earlier call's: the look is left out there.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -278,7 +278,8 @@
 	// An error is told by Closed, which knows from what was written whether the call can have run.
 	l.conn.Write(c.Body.AppendTo(p.bytes))
 	l.since, l.wrote = p.now, time.Now()
-	l.early = l.wrote.Sub(looked) > p.limits.WriteTime && !l.conn.Quiet()
+	// Nothing that came on a connection without calls before can be an earlier one's.
+	l.early = l.carried > 1 && l.wrote.Sub(looked) > p.limits.WriteTime && !l.conn.Quiet()
 }
 
 func (p *Pool) end(c *Call, result rules.Result) { p.finish(c, rules.TripEnded{Result: result}) }
