--- a/cmd/chuteweir/exchanges_test.go
+++ b/cmd/chuteweir/exchanges_test.go
@@ -391,6 +391,57 @@
 	}
 }
 
+// keepsOrder makes notes go one at a time by their keys.
+const keepsOrder = "repeat = \"reissuable\"\nin_order = true"
+
+func TestKeyKeepsItsOrderOverAKillWithAnUnconfirmedAnswer(t *testing.T) {
+	w := begin(t, `repeat = "reissuable"`, keepsOrder)
+	const key = "Affinity-Key: k\r\n"
+	w.listenScripted(1, func(c receivedCall) bool {
+		w.say("called: %s", c.id)
+		c.answer(200, "")
+		return true
+	})
+	w.hand("note", "warm", 9000, firstScripted)
+	time.Sleep(200 * time.Millisecond)
+	w.hand("note", "first", 9000, firstScripted, key)
+	w.hand("note", "second", 9000, firstScripted, key)
+	w.await(1, "called: second")
+	w.kill()
+	w.start()
+	time.Sleep(time.Second)
+	calls := strings.Join(w.heard(), "\n")
+	if strings.LastIndex(calls, "called: first") > strings.Index(calls, "called: second") {
+		t.Errorf("the first was called behind the second:\n%s", calls)
+	}
+}
+
+func TestNextNoticeOfAKeyIsNotCalledOnACopyOfAnAnswer(t *testing.T) {
+	w := begin(t, `repeat = "reissuable"`, keepsOrder)
+	const key = "Affinity-Key: k\r\n"
+	w.listenScripted(1, func(c receivedCall) bool {
+		w.say("called: %s", c.id)
+		c.answer(200, "") // of the first notice this is a copy of an earlier answer
+		if c.id == "first" {
+			time.Sleep(40 * time.Millisecond)
+			w.say("called: over")
+			c.answer(503, "")
+		}
+		return true
+	})
+	w.hand("note", "warm", 9000, firstScripted)
+	time.Sleep(200 * time.Millisecond)
+	w.hand("note", "first", 9000, firstScripted, key)
+	w.hand("note", "second", 9000, firstScripted, key)
+	w.await(1, "called: second")
+	w.await(1, "called: over")
+	calls := strings.Join(w.heard(), "\n")
+	if strings.Index(calls, "called: second") < strings.Index(calls, "called: over") {
+		t.Errorf("the second was called before the first was over:\n%s", calls)
+	}
+	w.await(1, `platform: {"message":"first","outcome":"given_up"}`)
+}
+
 // awaitText waits until the trace holds a text.
 func (w *world) awaitText(text string) {
 	w.t.Helper()
