--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -105,6 +105,7 @@
 			l.confirmOutcome(number, n)
 			l.release(number, n)
 		}
+		l.events = append(l.events, rules.OutcomeConfirmed{Notice: number})
 	}
 	for _, d := range l.calls.Doubts() {
 		l.doubt(d)
@@ -130,6 +131,7 @@
 	l.counters.Doubted++
 	l.log.Warn(logs.Doubted, "id", d.ID, "notice", d.Notice, "receiver", d.Receiver, "written_ago", l.now.Sub(d.Written),
 		"held", n != nil && !n.over)
+	l.events = append(l.events, rules.OutcomeDoubted{Notice: d.Notice, Receiver: d.Receiver, SentAgo: millis(l.now.Sub(d.Written))})
 	switch {
 	case n == nil && l.ended.has(d.ID):
 	case n == nil:
@@ -138,7 +140,6 @@
 		l.directory.Ended(directory.End{Notice: d.Notice, Message: d.ID, Outcome: directory.GivenUp})
 	case !n.over:
 		n.unconfirmed = false
-		l.events = append(l.events, rules.OutcomeDoubted{Notice: d.Notice, Receiver: d.Receiver, SentAgo: millis(l.now.Sub(d.Written))})
 	case n.unconfirmed:
 		l.answered--
 		l.end(d.Notice, directory.GivenUp, 0)
--- a/rules/api.go
+++ b/rules/api.go
@@ -147,7 +147,7 @@
 		Spent    Millis
 		Wait     Millis // with Full: told to wait so long; 0: not told
 		Over     bool   // the notice is over, by this outcome or before
-		// Unconfirmed says that its connection had carried calls before: the answer is its own unless OutcomeDoubted follows.
+		// Unconfirmed says that its connection had carried calls before: OutcomeConfirmed or OutcomeDoubted follows.
 		Unconfirmed bool
 		// MayBeDelivered says, with Ambiguous, that one of the answers was a good one: nothing more may be sent for the notice.
 		MayBeDelivered bool
@@ -163,6 +163,8 @@
 		Receiver ReceiverID
 		Wait     Millis
 	}
+	// OutcomeConfirmed says that an unconfirmed outcome holds.
+	OutcomeConfirmed struct{ Notice NoticeID }
 	// OutcomeDoubted takes back an unconfirmed outcome: the answer may have been another call's, and the trip may have run.
 	OutcomeDoubted struct {
 		Notice   NoticeID
@@ -184,16 +186,17 @@
 	TimerDue struct{ Timer TimerID }
 )
 
-func (NoticeTaken) event()     {}
-func (TripEnded) event()       {}
-func (ConnectionUp) event()    {}
-func (WaitTold) event()        {}
-func (OutcomeDoubted) event()  {}
-func (SurplusHeard) event()    {}
-func (NoticeWithdrawn) event() {}
-func (ListTold) event()        {}
-func (ListFailed) event()      {}
-func (TimerDue) event()        {}
+func (NoticeTaken) event()      {}
+func (TripEnded) event()        {}
+func (ConnectionUp) event()     {}
+func (WaitTold) event()         {}
+func (OutcomeConfirmed) event() {}
+func (OutcomeDoubted) event()   {}
+func (SurplusHeard) event()     {}
+func (NoticeWithdrawn) event()  {}
+func (ListTold) event()         {}
+func (ListFailed) event()       {}
+func (TimerDue) event()         {}
 
 // Action is something to be done for this sender, in the order given.
 type Action interface{ action() }
--- a/rules/exchanges.go
+++ b/rules/exchanges.go
@@ -52,12 +52,28 @@
 	n.restUntil = max(n.restUntil, n.unconfirmedUntil)
 }
 
-// outcomeDoubted takes back that a trip has not run: its answer may have been another call's.
+// outcomeConfirmed lets the next notice of a key go where this one is over.
+func (s *Sender) outcomeConfirmed(e OutcomeConfirmed) {
+	if n := s.notices[e.Notice]; n != nil {
+		n.unconfirmed = false
+	} else if n := s.unconfirmed[e.Notice]; n != nil {
+		n.unconfirmed = false
+		s.leaveLine(n)
+	}
+}
+
+// outcomeDoubted takes an outcome back: its answer may have been another call's, and the trip may have run.
 func (s *Sender) outcomeDoubted(e OutcomeDoubted) {
+	if over := s.unconfirmed[e.Notice]; over != nil {
+		s.restKey(over)
+		over.unconfirmed = false
+		s.leaveLine(over)
+	}
 	n := s.notices[e.Notice]
 	if n == nil || n.over {
 		return
 	}
+	n.unconfirmed = false
 	n.ran++
 	if !n.mayHaveRun {
 		n.mayHaveRun, n.ranAt = true, s.now-e.SentAgo
@@ -67,15 +83,20 @@
 			n.zoneUnknown = true
 		}
 	}
-	if k := s.keys[n.key]; k != nil {
-		k.restUntil = max(k.restUntil, s.now+s.settings.KeyRest)
-	}
+	s.restKey(n)
 	if n.waits {
 		s.unsort(n)
 		s.sort(n)
 	}
 }
 
+// restKey lets the key of a notice rest whose last trip may still run.
+func (s *Sender) restKey(n *notice) {
+	if k := s.keys[n.key]; k != nil {
+		k.restUntil = max(k.restUntil, s.now+s.settings.KeyRest)
+	}
+}
+
 // surplusHeard heeds that a receiver sent more than it was asked for: calls to its destination have
 // connections of their own.
 func (s *Sender) surplusHeard(e SurplusHeard) {
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -10,11 +10,11 @@
 		return
 	}
 	c := n.out
-	n.out = nil
+	n.out, n.unconfirmed = nil, e.Unconfirmed
 	s.settleCall(c, e)
 	mayRun := e.Result != Full && e.Result != NotConnected && e.Result != Moot && !unsent(e.Result)
-	if k := s.keys[n.key]; k != nil && mayStillRun(e.Result) {
-		k.restUntil = s.now + s.settings.KeyRest
+	if mayStillRun(e.Result) {
+		s.restKey(n)
 	}
 	if unsent(e.Result) {
 		n.trips--
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -70,6 +70,8 @@
 			if rc := s.receivers[e.Receiver]; rc != nil {
 				s.waitTold(rc.route, e.Wait)
 			}
+		case OutcomeConfirmed:
+			s.outcomeConfirmed(e)
 		case OutcomeDoubted:
 			s.outcomeDoubted(e)
 		case SurplusHeard:
--- a/rules/state.go
+++ b/rules/state.go
@@ -161,6 +161,7 @@
 	ranAt                      Millis // the first trip that may have run
 	ranZone                    ZoneID
 	over                       bool
+	unconfirmed                bool   // the outcome of its last trip may be doubted yet
 	unconfirmedUntil           Millis // its last trip may turn out to have run
 	opens                      Millis // as found out in this turn
 	order                      uint64 // in which it was taken
@@ -213,6 +214,7 @@
 	routes       []*route
 	receivers    map[ReceiverID]*receiver
 	keys         map[KeyID]*keyLine
+	unconfirmed  map[NoticeID]*notice // over, and still in the lines of their keys
 	portfolios   []sum
 	kinds        []*kind
 	grades       []*grade
@@ -241,6 +243,7 @@
 		destinations: map[DestinationID]*destination{},
 		receivers:    map[ReceiverID]*receiver{},
 		keys:         map[KeyID]*keyLine{},
+		unconfirmed:  map[NoticeID]*notice{},
 		portfolios:   make([]sum, len(settings.Quotas)),
 		timerAt:      never,
 		watchAt:      never,
@@ -431,11 +434,23 @@
 	delete(s.notices, n.id)
 	n.destination.held--
 	s.release(n.destination)
-	if k := s.keys[n.key]; k != nil {
-		k.line = slices.DeleteFunc(k.line, func(o *notice) bool { return o == n })
-		if len(k.line) == 0 && k.restUntil <= s.now {
-			delete(s.keys, n.key)
-		}
+	s.leaveLine(n)
+}
+
+// leaveLine lets the next notice of a key go, once what the last trip of this one came to is sure.
+func (s *Sender) leaveLine(n *notice) {
+	k := s.keys[n.key]
+	if k == nil {
+		return
+	}
+	if n.unconfirmed {
+		s.unconfirmed[n.id] = n
+		return
+	}
+	delete(s.unconfirmed, n.id)
+	k.line = slices.DeleteFunc(k.line, func(o *notice) bool { return o == n })
+	if len(k.line) == 0 && k.restUntil <= s.now {
+		delete(s.keys, n.key)
 	}
 }
 
