--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -35,10 +35,12 @@
 			}
 			go func() {
 				for r := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(r); err != nil {
+					request, err := http.ReadRequest(r)
+					if err != nil {
 						return
 					}
 					read <- c
+					io.Copy(io.Discard, request.Body)
 				}
 			}()
 		}
@@ -275,3 +277,22 @@
 broken: 2 doubted, 0 surplus
 `)
 }
+
+func TestAnswerThatComesWhileItsCallIsWrittenIsItsOwn(t *testing.T) {
+	s, read := scripted(t)
+	s.used(read)
+	body := s.pool.buffers.NewChain()
+	body.Add(make([]byte, 1<<20))
+	for range 40 {
+		s.calls++
+		go func() { say(<-read, 200, "") }()
+		s.pool.At(time.Now())
+		s.pool.Send(&Call{Notice: s.calls, Address: s.address, ID: "2", TimeOut: time.Second, Body: body})
+		s.turns(settleTime + 10*time.Millisecond)
+		for _, e := range s.pool.Ended() {
+			if e.Result != rules.Handled {
+				t.Errorf("%+v", e)
+			}
+		}
+	}
+}
