--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -130,16 +130,16 @@
 	}
 }
 
-// contradicted tells whether the answer to the call of a connection may be another call's: bytes had come when the call was written, or
-// the connection has carried calls before and what has come since holds an answer with another status.
+// contradicted tells whether the answer to the call of a connection may be another call's: the connection has carried calls before, and
+// what has come since holds an answer with another status.
 func (l *connection) contradicted(status int) bool {
 	other := func(heard int) bool { return heard != status }
-	return l.early || l.unsure() && slices.ContainsFunc(l.statuses, other)
+	return l.unsure() && slices.ContainsFunc(l.statuses, other)
 }
 
 // mayBeDelivered tells whether one of the answers that were heard for a call said 200, or may yet.
 func (l *connection) mayBeDelivered(status int) bool {
-	return l.early || status == http.StatusOK || slices.Contains(l.statuses, http.StatusOK)
+	return status == http.StatusOK || slices.Contains(l.statuses, http.StatusOK)
 }
 
 // appendStatuses appends the statuses of all status lines in b but those of interim answers.
@@ -196,8 +196,8 @@
 		p.drop(l, "its call may be sent again")
 	case len(behind) > 0:
 		p.hearSurplus(l, behind)
-	case m.Close || ended || l.early:
-		p.drop(l, "answer said so, came too early, or the connection ended with it")
+	case m.Close || ended:
+		p.drop(l, "answer said so, or the connection ended with it")
 	case l.gone:
 		p.settle(l)
 		p.letGo(l, "the receiver is gone")
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -55,7 +55,6 @@
 	surplus    bool           // the same, after something came that no call had asked for
 	retired    bool           // it is not used again, and closed when it has settled
 	statuses   []int          // of all answers that were heard since the call was written, where they may be other calls'
-	early      bool           // bytes had come before its call was surely written
 	since      time.Time
 	wrote      time.Time // when the last call was written
 	heard      time.Time // when the last bytes were heard
@@ -251,7 +250,6 @@
 		p.end(c, rules.Short)
 		return
 	}
-	looked := time.Now()
 	if l.carried > 0 && !l.conn.Quiet() {
 		l.call = nil
 		p.retire(l)
@@ -278,8 +276,6 @@
 	// An error is told by Closed, which knows from what was written whether the call can have run.
 	l.conn.Write(c.Body.AppendTo(p.bytes))
 	l.since, l.wrote = p.now, time.Now()
-	// Nothing that came on a connection without calls before can be an earlier one's.
-	l.early = l.carried > 1 && l.wrote.Sub(looked) > p.limits.WriteTime && !l.conn.Quiet()
 }
 
 func (p *Pool) end(c *Call, result rules.Result) { p.finish(c, rules.TripEnded{Result: result}) }
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -152,9 +152,8 @@
 	}
 }
 
-// unsure tells whether the answer to the call of a connection may be another's: it has carried calls before, or bytes had come when
-// the call was written.
-func (l *connection) unsure() bool { return l.carried > 1 || l.early }
+// unsure tells whether the answer to the call of a connection may be another's: it has carried calls before.
+func (l *connection) unsure() bool { return l.carried > 1 }
 
 // quiet is how long nothing has been heard on a connection; 0 if nothing ever was.
 func (l *connection) quiet(now time.Time) time.Duration {
