--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -42,6 +42,8 @@
 	Wait               rules.Millis // told
 	Replied            rules.Millis // when the answer's first line was written; 0: not
 	Closed             rules.Millis // when the connection ended under it; 0: not
+	Before             int          // calls that came on its connection before it
+	Ended              rules.Millis // when its connection ended, after its answer; 0: not
 	Fault              string       // what struck it, if anything
 }
 
@@ -55,6 +57,12 @@
 	return c.Delivered && (c.Closed == 0 || c.Closed > c.Replied+crossing)
 }
 
+// doubtful tells whether the sender may doubt an answer that it has seen whole: on a connection that has carried calls before it may be a
+// copy, if the connection ends before the true one would have come.
+func (c *Call) doubtful(crossing rules.Millis) bool {
+	return c.Before > 0 && c.Ended > 0 && c.Ended <= c.Replied+crossing
+}
+
 // Over is when the call was over for the sender; the greatest number there is: never.
 func (c *Call) Over() rules.Millis {
 	switch {
