--- a/internal/calls/calls_test.go
+++ b/internal/calls/calls_test.go
@@ -31,6 +31,7 @@
 	calls    rules.NoticeID
 	trace    strings.Builder
 	waits    bool // calls wait for connections that settle
+	confirm  time.Duration
 }
 
 func begin(t *testing.T) *stage {
@@ -38,7 +39,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stage{t: t, address: receiver.Addr().String(), accepted: make(chan net.Conn, 99), answers: make(chan string, 1)}
+	s := &stage{t: t, address: receiver.Addr().String(), accepted: make(chan net.Conn, 99), answers: make(chan string, 1),
+		confirm: confirmTime}
 	go func() {
 		for {
 			c, err := receiver.Accept()
@@ -65,7 +67,7 @@
 	pool := buffers.NewPool(l.Buffer)
 	s.pool = New(l, pool, []string{"x0", "x1"}, slog.New(slog.DiscardHandler), Hooks{
 		Record:        func(*Call) error { return nil },
-		ConfirmTime:   func(rules.ReceiverID) time.Duration { return confirmTime },
+		ConfirmTime:   func(rules.ReceiverID) time.Duration { return s.confirm },
 		WaitsToSettle: func(rules.ReceiverID, time.Duration, time.Duration) bool { return s.waits }})
 	if s.net, err = sockets.Start("127.0.0.1:0", l, pool, s.pool); err != nil {
 		t.Fatal(err)
--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -296,3 +296,18 @@
 		}
 	}
 }
+
+func TestEveryOutcomeIsConfirmedOrDoubtedHoweverManyFollow(t *testing.T) {
+	const count = 100
+	s := begin(t)
+	s.confirm = time.Minute
+	for range count {
+		s.call("HTTP/1.1 200 OK\r\n" + short)
+	}
+	s.pool.LetGo(0)
+	s.pool.At(time.Now().Add(2 * s.confirm))
+	s.pool.Sweep()
+	if told := len(s.pool.Confirmed()) + len(s.pool.Doubts()); told != count-1 {
+		t.Errorf("%d of %d unconfirmed outcomes were told of", told, count-1)
+	}
+}
