--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -41,7 +41,7 @@
 	Written  time.Time
 }
 
-// exchangesKept is how many answered calls a connection remembers at most.
+// exchangesKept is how many answered calls a connection remembers, and more only while the first of them is unconfirmed.
 const exchangesKept = 32
 
 // Confirmed hands over the notices whose unconfirmed outcomes hold, since the last time.
@@ -67,7 +67,7 @@
 
 // remember notes an outcome that may be another call's.
 func (l *connection) remember(c *Call, status int, confirm time.Duration, state exchangeState) {
-	if len(l.exchanges) == exchangesKept {
+	if len(l.exchanges) >= exchangesKept && l.exchanges[0].state != unconfirmed {
 		l.exchanges = slices.Delete(l.exchanges, 0, 1)
 	}
 	l.exchanges = append(l.exchanges, exchange{notice: c.Notice, id: c.ID, status: status, due: c.due, written: l.wrote, heard: l.heard,
