--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -94,8 +94,11 @@
 		if status := l.parser.Status(); status >= http.StatusOK {
 			l.statuses = append(l.statuses, status)
 		}
-		if l.surplus {
-			p.doubtOthers(l)
+		switch {
+		case l.surplus:
+			p.doubtOthers(l, anyExchange)
+		case l.unsure(): // it may as well be the late answer to the call that was given up
+			p.doubtOthers(l, isUnconfirmed)
 		}
 		switch {
 		case err != nil && l.surplus && l.heardBytes <= p.limits.Body:
@@ -119,14 +122,14 @@
 		l.statuses = l.statuses[:0]
 	}
 	if l.statuses = appendStatuses(l.statuses, b); l.rest {
-		p.doubtOthers(l)
+		p.doubtOthers(l, anyExchange)
 	}
 }
 
 // doubtOthers takes outcomes back that don't hold if the answers heard last belong to calls that were answered before.
-func (p *Pool) doubtOthers(l *connection) {
+func (p *Pool) doubtOthers(l *connection, which func(exchange) bool) {
 	for _, status := range l.statuses {
-		p.doubt(l, status)
+		p.doubt(l, status, which)
 	}
 }
 
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -178,7 +178,7 @@
 	l.conn.Close()
 	l.parser.Free()
 	delete(p.connections, l.conn)
-	p.confirm(l, func(exchange) bool { return true })
+	p.confirm(l, anyExchange)
 	p.removeIdle(l)
 }
 
--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -33,6 +33,10 @@
 	mayHaveRun // the outcome said no more than that: there is nothing to take back
 )
 
+func anyExchange(exchange) bool { return true }
+
+func isUnconfirmed(e exchange) bool { return e.state == unconfirmed }
+
 // Doubt is a call whose outcome was told although its answer may have been another call's.
 type Doubt struct {
 	Notice   rules.NoticeID
@@ -136,11 +140,11 @@
 }
 
 // doubt takes outcomes back that don't hold if an answer with another status was the true one to the last call, and so the answer to each
-// call before was booked on the call behind it.
-func (p *Pool) doubt(l *connection, status int) {
+// call before was booked on the call behind it. Of these it takes back which are told.
+func (p *Pool) doubt(l *connection, status int, which func(exchange) bool) {
 	for i := len(l.exchanges) - 1; i >= 0; i-- {
 		e := &l.exchanges[i]
-		if e.status != status && e.due.After(p.now) {
+		if e.status != status && e.due.After(p.now) && which(*e) {
 			p.takeBack(l, e)
 		}
 		status = e.status
