--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -22,6 +22,7 @@
 // Call is one trip of a notice.
 type Call struct {
 	Notice   rules.NoticeID
+	Trip     int // of the notice, by which a confirmation names it
 	Receiver rules.ReceiverID
 	// Destination is what the receiver belongs to: a wait that one of its calls is told binds all of them.
 	Destination rules.DestinationID
@@ -86,7 +87,7 @@
 	ended         []rules.TripEnded
 	up            []rules.ConnectionUp
 	waits         []rules.WaitTold
-	confirmed     []rules.NoticeID
+	confirmed     []Confirmation
 	doubts        []Doubt
 	surplus       []rules.ReceiverID
 	now           time.Time
--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -14,6 +14,7 @@
 // exchange is a call that was answered on a connection that had carried calls before, so that its answer may be another's.
 type exchange struct {
 	notice  rules.NoticeID
+	trip    int
 	id      string
 	status  int       // that it was booked with
 	due     time.Time // its true answer comes no later
@@ -37,6 +38,12 @@
 
 func isUnconfirmed(e exchange) bool { return e.state == unconfirmed }
 
+// Confirmation is a trip of which the unconfirmed outcome holds.
+type Confirmation struct {
+	Notice rules.NoticeID
+	Trip   int
+}
+
 // Doubt is a call whose outcome was told although its answer may have been another call's.
 type Doubt struct {
 	Notice   rules.NoticeID
@@ -48,8 +55,8 @@
 // exchangesKept is how many answered calls a connection remembers, and more only while the first of them is unconfirmed.
 const exchangesKept = 32
 
-// Confirmed hands over the notices whose unconfirmed outcomes hold, since the last time.
-func (p *Pool) Confirmed() []rules.NoticeID {
+// Confirmed hands over the trips whose unconfirmed outcomes hold, since the last time.
+func (p *Pool) Confirmed() []Confirmation {
 	confirmed := p.confirmed
 	p.confirmed = nil
 	return confirmed
@@ -74,8 +81,8 @@
 	if len(l.exchanges) >= exchangesKept && l.exchanges[0].state != unconfirmed {
 		l.exchanges = slices.Delete(l.exchanges, 0, 1)
 	}
-	l.exchanges = append(l.exchanges, exchange{notice: c.Notice, id: c.ID, status: status, due: c.due, written: l.wrote, heard: l.heard,
-		confirm: confirm, state: state})
+	l.exchanges = append(l.exchanges, exchange{notice: c.Notice, trip: c.Trip, id: c.ID, status: status, due: c.due, written: l.wrote,
+		heard: l.heard, confirm: confirm, state: state})
 }
 
 // settle lets a connection settle behind an answer.
@@ -129,7 +136,7 @@
 	for i := range l.exchanges {
 		if e := &l.exchanges[i]; e.state == unconfirmed && which(*e) {
 			e.state = confirmed
-			p.confirmed = append(p.confirmed, e.notice)
+			p.confirmed = append(p.confirmed, Confirmation{Notice: e.notice, Trip: e.trip})
 		}
 	}
 }
--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -102,8 +102,8 @@
 		}
 		s.trace.WriteString(",")
 	}
-	for _, notice := range s.pool.Confirmed() {
-		fmt.Fprintf(&s.trace, " %d confirmed,", notice)
+	for _, c := range s.pool.Confirmed() {
+		fmt.Fprintf(&s.trace, " %d confirmed,", c.Notice)
 	}
 	for _, d := range s.pool.Doubts() {
 		fmt.Fprintf(&s.trace, " %d doubted,", d.Notice)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -355,7 +355,7 @@
 			l.log.Debug(logs.Trip, "id", n.id, "notice", a.Notice, "receiver", a.Receiver,
 				"address", l.receivers.Addresses[a.Receiver], "time_out", span(a.TimeOut))
 		}
-		l.calls.Send(&calls.Call{Notice: a.Notice, Receiver: a.Receiver, Destination: n.destination,
+		l.calls.Send(&calls.Call{Notice: a.Notice, Trip: n.trips, Receiver: a.Receiver, Destination: n.destination,
 			Address: l.receivers.Addresses[a.Receiver], Zone: l.receivers.Zones[a.Receiver],
 			ID: n.id, Mark: n.mark, Body: n.body, TimeOut: span(a.TimeOut)})
 	case rules.Write:
--- a/internal/loop/outcomes.go
+++ b/internal/loop/outcomes.go
@@ -100,12 +100,8 @@
 
 // gatherConfirmations takes what has become of outcomes that were told before they were sure.
 func (l *Loop) gatherConfirmations() {
-	for _, number := range l.calls.Confirmed() {
-		if n := l.notices[number]; n != nil && n.unconfirmed {
-			l.confirmOutcome(number, n)
-			l.release(number, n)
-		}
-		l.events = append(l.events, rules.OutcomeConfirmed{Notice: number})
+	for _, c := range l.calls.Confirmed() {
+		l.confirmed(c)
 	}
 	for _, d := range l.calls.Doubts() {
 		l.doubt(d)
@@ -115,6 +111,19 @@
 	}
 }
 
+// confirmed lets the unconfirmed outcome of a trip hold, unless the notice has made another trip since.
+func (l *Loop) confirmed(c calls.Confirmation) {
+	n := l.notices[c.Notice]
+	if n != nil && n.trips != c.Trip {
+		return
+	}
+	if n != nil && n.unconfirmed {
+		l.confirmOutcome(c.Notice, n)
+		l.release(c.Notice, n)
+	}
+	l.events = append(l.events, rules.OutcomeConfirmed{Notice: c.Notice})
+}
+
 // confirmOutcome lets an unconfirmed outcome hold.
 func (l *Loop) confirmOutcome(number rules.NoticeID, n *held) {
 	n.unconfirmed = false
