--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -57,6 +57,8 @@
 	config                       config.Config
 	folder, path, state, address string
 
+	changing sync.Mutex // held from the end of one process until the next one serves
+
 	mu       sync.Mutex
 	command  *exec.Cmd
 	exited   chan struct{}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -280,6 +280,30 @@
 	}
 }
 
+// restart ends a sender's process and starts another one. A fault that comes before that serves waits for it.
+func (t *trial) restart(s *Sender, f scenario.Fault) {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	if f.Kind == scenario.Kill {
+		t.clients.Dead(s.number)
+		s.kill()
+	} else {
+		t.clients.Leaving(s.number)
+		if err := s.leave(); err != nil {
+			t.fault(err)
+		}
+	}
+	if !t.stage.At(f.Until()) {
+		return
+	}
+	s.life("starting") // what it was told before ends here, though it is found ready a little later
+	if err := s.launch(t.platform.List()); err != nil {
+		t.fault(err)
+		return
+	}
+	t.clients.Back(s.number)
+}
+
 // strike plays a fault of a sender.
 func (t *trial) strike(s *Sender, f scenario.Fault) {
 	if !t.stage.At(f.At) {
@@ -287,24 +311,7 @@
 	}
 	switch f.Kind {
 	case scenario.Kill, scenario.Stop:
-		if f.Kind == scenario.Kill {
-			t.clients.Dead(s.number)
-			s.kill()
-		} else {
-			t.clients.Leaving(s.number)
-			if err := s.leave(); err != nil {
-				t.fault(err)
-			}
-		}
-		if !t.stage.At(f.Until()) {
-			return
-		}
-		s.life("starting") // what it was told before ends here, though it is found ready a little later
-		if err := s.launch(t.platform.List()); err != nil {
-			t.fault(err)
-			return
-		}
-		t.clients.Back(s.number)
+		t.restart(s, f)
 	case scenario.Freeze:
 		s.life("frozen")
 		s.signal(syscall.SIGSTOP)
