--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -334,3 +334,35 @@
 late: 3 timed out, 2 doubted, 0 surplus
 `)
 }
+
+func TestOutcomeIsInDoubtIfItsConnectionEndsBeforeItIsConfirmed(t *testing.T) {
+	ends := map[string]func(*stage, net.Conn){
+		"reset": func(_ *stage, c net.Conn) {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"closed later": func(s *stage, c net.Conn) {
+			s.turns(300 * time.Millisecond)
+			c.Close()
+		},
+		"closed for room": func(s *stage, _ net.Conn) { s.pool.closeOldest() },
+	}
+	for name, end := range ends {
+		for _, status := range []int{200, 503} {
+			t.Run(fmt.Sprint(name, " ", status), func(t *testing.T) {
+				s, read := scripted(t)
+				s.confirm = time.Second
+				c := s.used(read)
+				s.send()
+				s.readBy(read)
+				say(c, status, "")
+				s.turns(20 * time.Millisecond)
+				s.pool.Ended()
+				end(s, c)
+				s.turns(20 * time.Millisecond)
+				s.tell("ended")
+				s.check("first: 1 handled, 0 surplus\nended: 2 doubted, 0 surplus")
+			})
+		}
+	}
+}
