--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -58,9 +58,9 @@
 }
 
 // doubtful tells whether the sender may doubt an answer that it has seen whole: on a connection that has carried calls before it may be a
-// copy, if the connection ends before the true one would have come.
-func (c *Call) doubtful(crossing rules.Millis) bool {
-	return c.Before > 0 && c.Ended > 0 && c.Ended <= c.Replied+crossing
+// copy, if the connection ends within the longest time in which the true one would have come.
+func (c *Call) doubtful(longest rules.Millis) bool {
+	return c.Before > 0 && c.Ended > 0 && c.Ended <= c.Replied+longest
 }
 
 // Over is when the call was over for the sender; the greatest number there is: never.
--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -104,7 +104,7 @@
 		case err != nil && l.surplus && l.heardBytes <= p.limits.Body:
 			l.parser.Free() // noise, behind which an answer may come yet
 			return
-		case err != nil || done && !l.surplus:
+		case err != nil || done && !l.surplus && !p.awaited(l):
 			p.drop(l, "nothing more to be heard")
 			return
 		}
@@ -199,8 +199,11 @@
 		p.drop(l, "its call may be sent again")
 	case len(behind) > 0:
 		p.hearSurplus(l, behind)
-	case m.Close || ended:
-		p.drop(l, "answer said so, or the connection ended with it")
+	case m.Close:
+		p.confirm(l, anyExchange) // no answer comes behind the last one
+		p.drop(l, "answer said so")
+	case ended:
+		p.drop(l, "ended with its answer")
 	case l.gone:
 		p.settle(l)
 		p.letGo(l, "the receiver is gone")
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -247,7 +247,7 @@
 func (p *Pool) write(l *connection) {
 	c := l.call
 	if err := p.hooks.Record(c); err != nil {
-		p.drop(l, "trip not recorded")
+		p.unassign(l)
 		p.end(c, rules.Short)
 		return
 	}
--- a/internal/calls/connections.go
+++ b/internal/calls/connections.go
@@ -13,27 +13,42 @@
 
 // The connections to receivers, from their coming up to their end.
 
-// closeOldest makes room for a connection.
+// closeOldest makes room for a connection: one that is of no more use, else an idle one, else one whose last outcomes are not confirmed.
 func (p *Pool) closeOldest() bool {
+	useless := func(l *connection) bool { return l.givenUp || l.retired }
+	oldest := p.oldest(func(l *connection) bool { return useless(l) && !p.awaited(l) })
+	if oldest == nil {
+		oldest = p.oldestIdle()
+	}
+	if oldest == nil {
+		oldest = p.oldest(useless)
+	}
+	if oldest != nil {
+		p.drop(oldest, "room for another connection")
+	}
+	return oldest != nil
+}
+
+// oldest is that of some connections which has been as it is for the longest, or nil.
+func (p *Pool) oldest(which func(*connection) bool) *connection {
 	var oldest *connection
 	for _, l := range p.connections {
-		if (l.givenUp || l.retired) && (oldest == nil || l.since.Before(oldest.since)) {
+		if which(l) && (oldest == nil || l.since.Before(oldest.since)) {
 			oldest = l
 		}
 	}
-	if oldest != nil {
-		p.drop(oldest, "room for another connection")
-		return true
-	}
+	return oldest
+}
+
+// oldestIdle is the connection that has been idle for the longest, or nil.
+func (p *Pool) oldestIdle() *connection {
+	var oldest *connection
 	for _, idle := range p.idle {
 		if len(idle) > 0 && (oldest == nil || idle[0].since.Before(oldest.since)) {
 			oldest = idle[0]
 		}
 	}
-	if oldest != nil {
-		p.drop(oldest, "room for another connection")
-	}
-	return oldest != nil
+	return oldest
 }
 
 // Opened asks whether the call that waited for its connection may still leave.
@@ -68,7 +83,6 @@
 		p.answered(l, l.parser.Take(), nil, true)
 		return
 	}
-	p.doubtBroken(l)
 	if c != nil && !c.written && l.carried > 0 {
 		l.call = nil
 		p.drop(l, "ended while it settled")
@@ -178,7 +192,7 @@
 	l.conn.Close()
 	l.parser.Free()
 	delete(p.connections, l.conn)
-	p.confirm(l, anyExchange)
+	p.doubtEnded(l)
 	p.removeIdle(l)
 }
 
@@ -197,7 +211,7 @@
 func (p *Pool) Sweep() {
 	for _, l := range p.connections {
 		p.confirmOld(l)
-		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime && !(l.surplus && p.awaited(l)) {
+		if (l.rest || l.givenUp) && p.now.Sub(l.since) > p.limits.RestTime && !p.awaited(l) {
 			p.doubtCut(l)
 			p.drop(l, "answer does not end")
 		} else if l.retired && !p.awaited(l) && p.now.Sub(l.heard) > p.limits.RestTime {
--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -123,11 +123,15 @@
 	return next
 }
 
+// overdue tells whether the true answer to an unconfirmed call would have come by now.
+func (p *Pool) overdue(e exchange) bool {
+	return e.state == unconfirmed && p.now.Sub(e.heard) >= e.confirm
+}
+
 // confirmOld lets outcomes of a connection hold of which the true answers would have come by now.
 func (p *Pool) confirmOld(l *connection) {
-	old := func(e exchange) bool { return e.state == unconfirmed && p.now.Sub(e.heard) >= e.confirm }
-	if !l.rest && slices.ContainsFunc(l.exchanges, old) && l.conn.Quiet() {
-		p.confirm(l, old)
+	if !l.rest && slices.ContainsFunc(l.exchanges, p.overdue) && l.conn.Quiet() {
+		p.confirm(l, p.overdue)
 	}
 }
 
@@ -166,12 +170,12 @@
 	}
 }
 
-// doubtBroken takes back that notices were delivered whose true answers may have been on their way as their connection broke.
-func (p *Pool) doubtBroken(l *connection) {
+// doubtEnded takes unconfirmed outcomes back whose connection ends: the true answers may have been on their way.
+func (p *Pool) doubtEnded(l *connection) {
+	p.confirm(l, p.overdue)
 	for i := range l.exchanges {
-		e := &l.exchanges[i]
-		if e.state == unconfirmed && !refusal(e.status) && p.now.Sub(e.heard) < min(e.confirm, p.limits.BreakTime) {
-			p.takeBack(l, e)
+		if l.exchanges[i].state == unconfirmed {
+			p.takeBack(l, &l.exchanges[i])
 		}
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -49,7 +49,6 @@
 	Sweep        time.Duration // between looks for what has taken too long
 	Lag          time.Duration // a turn so long after the last one, or so old, may not know what has come
 	SettleTime   time.Duration // a connection to a receiver stays unused behind an answer
-	BreakTime    time.Duration // an answer is in doubt if its connection breaks so soon behind it
 	Unheard      time.Duration // until it is looked again whether what has come on a connection was heard
 	Stall        time.Duration // the process may be held up for so long between reading its clock and writing
 
@@ -107,7 +106,6 @@
 		Sweep:        100 * time.Millisecond,
 		Lag:          20 * time.Millisecond,
 		SettleTime:   span(rules.SettleTime),
-		BreakTime:    200 * time.Millisecond,
 		Unheard:      time.Millisecond,
 		Stall:        150 * time.Millisecond,
 
