--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -366,3 +366,20 @@
 		}
 	}
 }
+
+func TestOfAlikeAnswersOnlyTheLastIsInDoubtWhenAConnectionEnds(t *testing.T) {
+	s, read := scripted(t)
+	s.confirm = 10 * time.Second
+	c := s.used(read)
+	for _, status := range []int{200, 200, 503, 503} {
+		s.send()
+		s.readBy(read)
+		say(c, status, "")
+		s.turns(settleTime + 20*time.Millisecond)
+	}
+	s.pool.Ended()
+	c.Close()
+	s.turns(20 * time.Millisecond)
+	s.tell("ended")
+	s.check("first: 1 handled, 0 surplus\nended: 2 confirmed, 4 confirmed, 5 doubted, 3 doubted, 0 surplus")
+}
