--- a/internal/calls/settling.go
+++ b/internal/calls/settling.go
@@ -52,6 +52,9 @@
 	Written  time.Time
 }
 
+// statusUnknown is the status of an answer that did not come.
+const statusUnknown = 0
+
 // exchangesKept is how many answered calls a connection remembers, and more only while the first of them is unconfirmed.
 const exchangesKept = 32
 
@@ -170,14 +173,12 @@
 	}
 }
 
-// doubtEnded takes unconfirmed outcomes back whose connection ends: the true answers may have been on their way.
+// doubtEnded takes unconfirmed outcomes back whose connection ends: the true answer to the last call may have been on its way, and that to
+// a call before may have been booked on the call behind it.
 func (p *Pool) doubtEnded(l *connection) {
 	p.confirm(l, p.overdue)
-	for i := range l.exchanges {
-		if l.exchanges[i].state == unconfirmed {
-			p.takeBack(l, &l.exchanges[i])
-		}
-	}
+	p.doubt(l, statusUnknown, isUnconfirmed)
+	p.confirm(l, anyExchange)
 }
 
 // doubtCut takes back what the head of an answer has told that did not come whole: it may be a part of an earlier call's.
