--- a/internal/calls/settling_test.go
+++ b/internal/calls/settling_test.go
@@ -313,26 +313,25 @@
 }
 
 func TestLateAnswerToACallGivenUpMayBelongToTheCallBefore(t *testing.T) {
-	s, read := scripted(t)
-	c := s.used(read)
-	s.send()
-	s.readBy(read)
-	say(c, 200, "") // a copy
-	s.turns(settleTime + 5*time.Millisecond)
-	s.tell("copied")
-	s.calls++
-	s.pool.At(time.Now())
-	s.pool.Send(&Call{Notice: s.calls, Address: s.address, ID: "3", TimeOut: 10 * time.Millisecond})
-	s.readBy(read)
-	s.turns(15 * time.Millisecond)
-	say(c, 503, "")
-	s.turns(10 * time.Millisecond)
-	s.tell("late")
-	s.check(`
-first: 1 handled, 0 surplus
-copied: 2 handled unconfirmed, 0 surplus
-late: 3 timed out, 2 doubted, 0 surplus
-`)
+	for status, before := range map[int]string{503: "2 doubted", 200: "2 confirmed"} {
+		s, read := scripted(t)
+		c := s.used(read)
+		s.send()
+		s.readBy(read)
+		say(c, 200, "") // a copy
+		s.turns(settleTime + 5*time.Millisecond)
+		s.tell("copied")
+		s.calls++
+		s.pool.At(time.Now())
+		s.pool.Send(&Call{Notice: s.calls, Address: s.address, ID: "3", TimeOut: 10 * time.Millisecond})
+		s.readBy(read)
+		s.turns(15 * time.Millisecond)
+		say(c, status, "")
+		c.Close()
+		s.turns(10 * time.Millisecond)
+		s.tell("late")
+		s.check("first: 1 handled, 0 surplus\ncopied: 2 handled unconfirmed, 0 surplus\nlate: 3 timed out, " + before + ", 0 surplus")
+	}
 }
 
 func TestOutcomeIsInDoubtIfItsConnectionEndsBeforeItIsConfirmed(t *testing.T) {
