--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -43,7 +43,7 @@
 	Replied            rules.Millis // when the answer's first line was written; 0: not
 	Closed             rules.Millis // when the connection ended under it; 0: not
 	Before             int          // calls that came on its connection before it
-	Ended              rules.Millis // when its connection ended, if no answer with the same status came behind its own; 0: not
+	Ended              rules.Millis // when its connection ended, if it may be doubted then (standin.line.doubtful); 0: not
 	Fault              string       // what struck it, if anything
 }
 
--- a/internal/calls/answers.go
+++ b/internal/calls/answers.go
@@ -97,8 +97,9 @@
 		switch {
 		case l.surplus:
 			p.doubtOthers(l, anyExchange)
-		case l.unsure(): // it may as well be the late answer to the call that was given up
+		case l.unsure() && len(l.statuses) > 0: // it may as well be the late answer to the call that was given up
 			p.doubtOthers(l, isUnconfirmed)
+			p.confirm(l, anyExchange)
 		}
 		switch {
 		case err != nil && l.surplus && l.heardBytes <= p.limits.Body:
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -369,12 +369,13 @@
 // doubtfulKept is how many calls of a connection are told when it ends.
 const doubtfulKept = 64
 
-// noteAnswered keeps a call that was answered, in the place of one before with the same status.
+// noteAnswered keeps a call that was answered. Of the calls before it goes which a like answer has followed that the sender must have heard,
+// which it need not have heard of the last one.
 func (l *line) noteAnswered(call *audit.Call, status int) {
 	last := len(l.doubtful) - 1
 	switch {
-	case last >= 0 && l.doubtful[last].status == status:
-		l.doubtful = l.doubtful[:last]
+	case last > 0 && l.doubtful[last-1].status == l.doubtful[last].status:
+		l.doubtful = slices.Delete(l.doubtful, last-1, last)
 	case len(l.doubtful) == doubtfulKept:
 		l.doubtful = slices.Delete(l.doubtful, 0, 1)
 	}
