--- a/internal/trial/soak_test.go
+++ b/internal/trial/soak_test.go
@@ -77,7 +77,7 @@
 	}
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
-			t.Parallel()
+			playBeside(t)
 			r, err := Run(context.Background(), Options{Scenario: soakScenario(t, seed+1), Start: Serve(program, "info")})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -93,6 +93,19 @@
 for = "2900ms"
 `
 
+// playsAtOnce is how many scenarios parallel tests play at once: more hold each other up.
+const playsAtOnce = 3
+
+var playing = make(chan struct{}, playsAtOnce)
+
+// playBeside lets a test's play begin beside few others.
+func playBeside(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	playing <- struct{}{}
+	t.Cleanup(func() { <-playing })
+}
+
 func play(t *testing.T, text string, seed uint64, start Start) *Result {
 	t.Helper()
 	s, faults := scenario.Read("made up", []byte(text))
@@ -115,7 +128,7 @@
 		"pushes": audit.Returns, "order": audit.Order, "waits": audit.Waits, "strays": audit.Other,
 	} {
 		t.Run("wrong "+wrong, func(t *testing.T) {
-			t.Parallel()
+			playBeside(t)
 			self, err := os.Executable()
 			if err != nil {
 				t.Fatal(err)
@@ -285,7 +298,7 @@
 part = 0.5`, 0.6, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+			playBeside(t)
 			r := play(t, "name = \"hard\"\n"+head+c.script, 1, Serve(program, "debug"))
 			if !r.Clean() {
 				t.Errorf("%d breaches\n%s", len(r.Breaches), audit.Tell(r.Breaches))
@@ -322,7 +335,7 @@
 	for _, name := range []string{"sick-half-hang", "sick-half-never-up", "sick-half-dribble", "sick-half-flap", "sick-big-hangs",
 		"sick-third-fails", "sick-no-files"} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+			playBeside(t)
 			s, err := scenario.Load(name)
 			if err != nil {
 				t.Fatal(err)
