--- a/cmd/chuteweir/exchanges_test.go
+++ b/cmd/chuteweir/exchanges_test.go
@@ -394,19 +394,25 @@
 // keepsOrder makes notes go one at a time by their keys.
 const keepsOrder = "repeat = \"reissuable\"\nin_order = true"
 
-func TestKeyKeepsItsOrderOverAKillWithAnUnconfirmedAnswer(t *testing.T) {
-	w := begin(t, `repeat = "reissuable"`, keepsOrder)
-	const key = "Affinity-Key: k\r\n"
+// callTwoOfAKey hands two notes of a key in behind one without, and waits until the second is called.
+func (w *world) callTwoOfAKey(answer func(receivedCall)) {
+	w.t.Helper()
 	w.listenScripted(1, func(c receivedCall) bool {
 		w.say("called: %s", c.id)
-		c.answer(200, "")
+		answer(c)
 		return true
 	})
+	const key = "Affinity-Key: k\r\n"
 	w.hand("note", "warm", 9000, firstScripted)
 	time.Sleep(200 * time.Millisecond)
 	w.hand("note", "first", 9000, firstScripted, key)
 	w.hand("note", "second", 9000, firstScripted, key)
 	w.await(1, "called: second")
+}
+
+func TestKeyKeepsItsOrderOverAKillWithAnUnconfirmedAnswer(t *testing.T) {
+	w := begin(t, `repeat = "reissuable"`, keepsOrder)
+	w.callTwoOfAKey(func(c receivedCall) { c.answer(200, "") })
 	w.kill()
 	w.start()
 	time.Sleep(time.Second)
@@ -418,22 +424,14 @@
 
 func TestNextNoticeOfAKeyIsNotCalledOnACopyOfAnAnswer(t *testing.T) {
 	w := begin(t, `repeat = "reissuable"`, keepsOrder)
-	const key = "Affinity-Key: k\r\n"
-	w.listenScripted(1, func(c receivedCall) bool {
-		w.say("called: %s", c.id)
+	w.callTwoOfAKey(func(c receivedCall) {
 		c.answer(200, "") // of the first notice this is a copy of an earlier answer
 		if c.id == "first" {
 			time.Sleep(40 * time.Millisecond)
 			w.say("called: over")
 			c.answer(503, "")
 		}
-		return true
 	})
-	w.hand("note", "warm", 9000, firstScripted)
-	time.Sleep(200 * time.Millisecond)
-	w.hand("note", "first", 9000, firstScripted, key)
-	w.hand("note", "second", 9000, firstScripted, key)
-	w.await(1, "called: second")
 	w.await(1, "called: over")
 	calls := strings.Join(w.heard(), "\n")
 	if strings.Index(calls, "called: second") < strings.Index(calls, "called: over") {
