Log what a sender knows of each outage: signs, down, confirmed, warm-up

The decisions now report each change of a route's state that a restart must not lose (RouteStateChanged), and the loop logs it: outage (info) and outage_sign (debug).

--- a/internal/benchwire/encode.go
+++ b/internal/benchwire/encode.go
@@ -77,6 +77,7 @@
 		w.header(codeEmit, 4+uint32(len(text)), instance)
 		w.body = binary.LittleEndian.AppendUint16(w.body, uint16(len(text)))
 		w.body = append(w.body, text...)
+	case rules.RouteStateChanged: // the simulator's senders keep nothing across a restart
 	default:
 		return fmt.Errorf("action %T has no record code", action)
 	}
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -12,6 +12,8 @@
 	ShuttingDown             = "leaving"
 	CountersLine             = "counters"
 	Breaker                  = "breaker"
+	Outage                   = "outage"
+	OutageSign               = "outage_sign"
 	Reloaded                 = "reloaded"
 	ReloadRefused            = "reload_refused"
 	ConfigWarning            = "config_odd"
@@ -60,6 +62,10 @@
 		"all counters since the start, at SIGUSR1 and at exit; `owed` is the number of pending outcome reports"},
 	{Breaker, "info", []string{"destination", "route", "state", "why"}, false,
 		"the breaker of a route changed its state; `route` is the number of the route's first receiver"},
+	{Outage, "info", []string{"destination", "route", "state", "age", "lasted", "rate_before", "limit", "held"}, true,
+		"an outage of a route: `down` or `confirmed` (calls are spaced as long as it lasts; `age` is the time since its first sign), or `warming_up` (it ended `age` ago after `lasted`); `rate_before` is the rate of handled calls before it and `limit` the reported limit, both in calls a second, and `held` the notices held for the destination"},
+	{OutageSign, "debug", []string{"destination", "route", "state", "limit", "held"}, false,
+		"`sign`: a failure or refusal that may begin an outage; `healthy`: no sign, outage or warm-up is left"},
 	{Reloaded, "info", []string{"discovery", "owed"}, false,
 		"SIGHUP: the configuration was reloaded; `owed` outcome reports are pending and go to the new address"},
 	{ReloadRefused, "error", []string{"why"}, false,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -397,6 +397,8 @@
 		l.timers = append(l.timers, l.now.Add(toDuration(a.After)))
 	case rules.WatchList:
 		l.directory.Watch()
+	case rules.RouteStateChanged:
+		l.logRouteState(a)
 	case rules.BreakerChanged:
 		l.log.Info(logs.Breaker, "destination", a.Destination, "route", a.Route, "state", a.State, "why", a.Reason)
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -90,6 +90,20 @@
 	MaxPause Millis
 }
 
+// RouteState is the part of a route's state that a sender must still take into account after a restart. Ages
+// are durations up to the time of the action or event that carries it.
+type RouteState struct {
+	InOutage         bool    // an outage was seen and its end was not
+	Down             bool    // with InOutage: calls are spaced as during an outage
+	Confirmed        bool    // with InOutage: the outage is confirmed
+	OutageAge        Millis  // with InOutage: time since its first sign
+	WarmingUp        bool    // an outage has ended, and the warm-up after it is not over
+	RecoveredAge     Millis  // with WarmingUp: time since the end of that outage
+	OutageDuration   Millis  // with WarmingUp: length of that outage
+	RateBeforeOutage float64 // calls per second handled before that outage; negative: unknown
+	Limit            float64 // calls per second that the receivers reported; 0: none
+}
+
 // ReceiverStatus is the status of a receiver in the receiver list.
 type ReceiverStatus uint8
 
@@ -261,6 +275,14 @@
 		Route         ReceiverID // first receiver of the route
 		State, Reason string
 	}
+	// RouteStateChanged reports that a route's state changed in a way that must survive a restart of the sender.
+	RouteStateChanged struct {
+		Destination DestinationID
+		Route       ReceiverID // first receiver of the route
+		Separate    bool       // the route is that single receiver, not the whole destination
+		Held        int        // held notices of the destination
+		State       RouteState
+	}
 )
 
 func (Send) action()                 {}
@@ -273,6 +295,7 @@
 func (SetTimer) action()             {}
 func (WatchList) action()            {}
 func (BreakerChanged) action()       {}
+func (RouteStateChanged) action()    {}
 
 // String returns the change of state as a line for the log.
 func (b BreakerChanged) String() string {
--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -47,6 +47,7 @@
 	r.outageConfirmed = r.outageConfirmed || confirmed ||
 		s.now-r.outageSince >= confirmingOverloadTimes*s.settings.OverloadTime
 	r.down = r.down || r.outageConfirmed || down
+	s.noteStateChange(r)
 }
 
 // recordOutcome adds an outcome to the sliding window and opens the breaker when too many calls failed. A
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -101,6 +101,7 @@
 	}
 	if e.LimitReported {
 		r.limitRate, r.limitRemaining = e.LimitRate/1000, e.LimitRemaining
+		s.noteStateChange(r)
 	}
 	switch {
 	case e.Result == Handled:
@@ -153,6 +154,9 @@
 		if r.outageConfirmed || s.now-r.outageSince >= confirmingOverloadTimes*s.settings.OverloadTime {
 			r.recoveredAt, r.outageDuration = s.now, max(s.now-r.outageSince, resetTimeout)
 		}
+		if r.outageSince != never {
+			s.noteStateChange(r)
+		}
 		r.outageSince, r.down, r.outageConfirmed = never, false, false
 	}
 	if r.state == halfOpen && c.trial {
--- /dev/null
+++ b/rules/route_state.go
@@ -0,0 +1,82 @@
+package rules
+
+import "math"
+
+// This file reports the part of a route's state that must survive a restart of the sender: outages that were
+// seen, the warm-up after them, and limits that were learnt. Without it a new process would call a destination
+// during an outage and after it as if it were healthy.
+
+// limitChange is the relative change of a reported limit from which on the new limit is reported again. Some
+// receivers report their limit with noise.
+const limitChange = 0.25
+
+// rateUnknown is the RateBeforeOutage of a route that was known for too short a time before the outage.
+const rateUnknown = -1.0
+
+// savedState is what was last reported of a route's state.
+type savedState struct {
+	outageSince, recoveredAt Millis
+	down, confirmed          bool
+	limitRate                float64
+}
+
+// noteStateChange marks a route whose state may have to be reported at the end of this turn.
+func (s *Sender) noteStateChange(r *route) {
+	if !r.stateChanged {
+		r.stateChanged = true
+		s.changedRoutes = append(s.changedRoutes, r)
+	}
+}
+
+// reportRouteStates reports the routes whose state differs from what was last reported.
+func (s *Sender) reportRouteStates() {
+	for _, r := range s.changedRoutes {
+		r.stateChanged = false
+		present := s.stateToSave(r)
+		if present == r.saved {
+			continue
+		}
+		r.saved = present
+		s.emit(RouteStateChanged{Destination: r.destination.id, Route: r.id,
+			Separate: r.destination.kind.SeparateRoutes, Held: r.destination.heldNotices,
+			State: s.routeState(r)})
+	}
+	s.changedRoutes = s.changedRoutes[:0]
+}
+
+// stateToSave returns the present state of a route for the comparison with what was last reported.
+func (s *Sender) stateToSave(r *route) savedState {
+	present := savedState{outageSince: r.outageSince, recoveredAt: -never, down: r.down,
+		confirmed: r.outageConfirmed, limitRate: r.saved.limitRate}
+	if s.warmingUp(r) {
+		present.recoveredAt = r.recoveredAt
+	}
+	change := r.limitRate - r.saved.limitRate
+	if change > limitChange*r.saved.limitRate || -change > limitChange*r.saved.limitRate {
+		present.limitRate = r.limitRate
+	}
+	return present
+}
+
+// warmingUp reports whether a route's last outage has ended and the warm-up after it is not over.
+func (s *Sender) warmingUp(r *route) bool { return s.now-r.recoveredAt < s.settings.WarmUpTime }
+
+// routeState returns the part of a route's state that must survive a restart.
+func (s *Sender) routeState(r *route) RouteState {
+	state := RouteState{Limit: r.limitRate * 1000}
+	if r.outageSince != never {
+		state.InOutage, state.Down, state.Confirmed = true, r.down, r.outageConfirmed
+		state.OutageAge = s.now - r.outageSince
+	}
+	if s.warmingUp(r) {
+		state.WarmingUp = true
+		state.RecoveredAge, state.OutageDuration = s.now-r.recoveredAt, r.outageDuration
+	}
+	if state.InOutage || state.WarmingUp {
+		state.RateBeforeOutage = rateUnknown
+		if !math.IsInf(r.maxRateBeforeOutage, 1) {
+			state.RateBeforeOutage = r.maxRateBeforeOutage * 1000
+		}
+	}
+	return state
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -139,6 +139,7 @@
 	s.sendNotices()
 	s.freeSpace()
 	s.setTimer()
+	s.reportRouteStates()
 	return s.actions
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -126,6 +126,8 @@
 	lastListedAt, createdAt     Millis  // lastListedAt: when it last had a receiver
 	creationOrder               uint64
 	active, removed             bool // active: the route is in Sender.active
+	stateChanged                bool // the route is in Sender.changedRoutes
+	saved                       savedState
 }
 
 // destination is a destination with its routes and the notices that wait for it.
@@ -236,6 +238,7 @@
 	acceptedCount                       uint64
 	waitingDestinations                 []*destination // those with waiting notices
 	active                              []*route       // see activeRoutes
+	changedRoutes                       []*route       // whose state may have to be reported in this turn
 	routesCreated                       uint64
 	destinations                        map[DestinationID]*destination
 	routes                              []*route
@@ -313,6 +316,7 @@
 		s.routesCreated++
 		created := &route{id: entry.Receiver, destination: d, state: closed, delayWindow: initialWindow,
 			limitShare: 1, outageSince: never, recoveredAt: -never,
+			saved:         savedState{outageSince: never, recoveredAt: -never},
 			creationOrder: s.routesCreated, createdAt: s.now}
 		d.routes = append(d.routes, created)
 		s.routes = append(s.routes, created)
@@ -508,6 +512,9 @@
 	}
 	s.cleanUpAt = s.now + s.settings.OverloadTime
 	s.routes = slices.DeleteFunc(s.routes, func(r *route) bool {
+		if r.saved.recoveredAt != -never && !s.warmingUp(r) {
+			s.noteStateChange(r)
+		}
 		r.receivers = slices.DeleteFunc(r.receivers, func(rc *receiver) bool {
 			if rc.status != Gone || s.now < rc.route.requestedWaitUntil ||
 				slices.ContainsFunc(r.outstanding, func(c *call) bool { return c.receiver == rc }) {
