--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,6 +146,9 @@
 		}
 		// With a budget below three, a few calls at random times would overload the destination.
 		budget := g.recovery.OverloadMultiple * g.Capacity() * capacityShare * float64(g.recovery.OverloadWindow) / 1000
+		if g.profile.OverloadAllowance {
+			budget += overloadAllowance(budget)
+		}
 		if float64(len(g.coldArrivals)) > max(budget, 3) && now-g.returnedAt >= 0 {
 			g.overloaded = true
 			return Response{Overloaded: true, CausedOverload: true}
@@ -179,6 +182,18 @@
 	return Response{DueAt: endsAt}
 }
 
+// smallBudget is the overload budget, in calls, below which the allowance for chance is larger.
+const smallBudget = 30
+
+// overloadAllowance returns how many calls beyond a budget the platform's terms allow, because calls of many senders
+// coincide by chance.
+func overloadAllowance(budget float64) float64 {
+	if budget < smallBudget {
+		return 3*math.Sqrt(budget) + 3
+	}
+	return 2*math.Sqrt(budget) + 2
+}
+
 // countAgainstLimit counts a call against the limit and reports whether the call exceeds it.
 func (g *Gateway) countAgainstLimit(now rules.Millis, limitShare float64) bool {
 	if g.profile.Limit <= 0 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -137,6 +137,7 @@
 	RetryAfter        rules.Millis // the requested wait where the limit has no window
 	Connections       int          // maximum number of connections; 0: no maximum
 	OverloadsWhenCold bool         // the destination is cold after an outage and can be overloaded then
+	OverloadAllowance bool         // its overload budget has an allowance for calls that coincide by chance
 }
 
 // Fault is one scripted fault: its kind, its time, what it affects and how strongly.
@@ -260,7 +261,7 @@
 				LimitDepth: duration(block, "limit_depth"), CountsRefused: block.Flag("counts_refused"),
 				ReportsLimit: block.Flag("reports"), RetryAfterShare: block.Number("tells_wait"),
 				RetryAfter: duration(block, "wait"), Connections: block.Int("connections"),
-				OverloadsWhenCold: block.Flag("tips")}}
+				OverloadsWhenCold: block.Flag("tips"), OverloadAllowance: block.Flag("tips_allowance")}}
 		if groups[group.Name] {
 			file.AddFault(block, "name", fmt.Sprintf("another [[gateway]] has the name %q", group.Name),
 				"a name of its own")
--- a/internal/scenario/table.go
+++ b/internal/scenario/table.go
@@ -112,6 +112,8 @@
 			Doc: "maximum number of connections to a destination, including idle ones; further ones are closed at once; 0: no maximum"},
 		{Name: "tips", Kind: conf.Flag, Default: "false",
 			Doc: "whether the destination is cold after an outage and can be overloaded then, as `[return]` describes"},
+		{Name: "tips_allowance", Kind: conf.Flag, Default: "false",
+			Doc: "`tips`: whether the budget of N calls within `fall` has the allowance of the platform's terms for calls that coincide by chance: 2 sqrt(N) + 2 calls, below 30 calls 3 sqrt(N) + 3"},
 	}},
 	{Name: "fault", Repeated: true, Doc: "A fault, scripted at an exact time.", Keys: []conf.Key{
 		{Name: "kind", Kind: conf.Choice, Required: true, Choices: faultKindNames(), Doc: "what happens; see below"},
