Pace recoveries so that all senders together keep the budget, without a restart too

Callers saw a recovering destination go down again (rule 4) although no sender had restarted: the busiest one, offered 94 calls a second of the 40 that it allows. Cause: each sender used up to 1.5 times its part, and its part had an allowance of two deviations and two calls; at a busy destination every sender has work, and these added up (48 senders: about 2.2 budgets). Also, the length of an outage was taken from the first sign that this process saw, 5 s at least, while the notices of 12 s waited.

Now the parts add up to the capacity: what is held counts over the time in which it was accepted, up to the handled rate (plus one call), and all senders aim for a mean that lies three deviations below the most calls that the terms allow.

--- a/rules/api.go
+++ b/rules/api.go
@@ -100,7 +100,7 @@
 	WarmingUp        bool    // an outage has ended, and the warm-up after it is not over
 	RecoveredAge     Millis  // with WarmingUp: time since the end of that outage
 	OutageDuration   Millis  // with WarmingUp: length of that outage
-	RateBeforeOutage float64 // calls per second handled before that outage; negative: unknown
+	RateBeforeOutage float64 // calls per second handled before that outage
 	Limit            float64 // calls per second that the receivers reported; 0: none
 }
 
--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -40,7 +40,7 @@
 		r.pacingPhase, r.pacingStart = s.random(), max(s.now, r.waitUntil)
 	}
 	if r.outageSince == never && s.now-r.recoveredAt >= s.settings.WarmUpTime {
-		r.maxRateBeforeOutage = s.maxHandledRate(r)
+		r.rateBeforeOutage = s.handledRate(r)
 	}
 	r.outageSince = min(r.outageSince, s.now)
 	r.lastOutageSignAt = max(s.now, r.waitUntil)
--- a/rules/notices.go
+++ b/rules/notices.go
@@ -19,15 +19,15 @@
 		expiresAt:  s.now + e.TimeLeft,
 		spaceShare: e.SpaceShare}
 	n.surelyInTimeUntil = n.expiresAt - max(e.Waited, s.settings.MaxPause)
-	submittedAt := n.expiresAt - g.ClientTimeout
-	n.quotedUntil = submittedAt + g.QuotedTime
+	n.submittedAt = n.expiresAt - g.ClientTimeout
+	n.quotedUntil = n.submittedAt + g.QuotedTime
 	n.credit = g.Credit * s.portfolioFactor(e.Portfolio)
 	n.trips, n.possibleRuns, n.mayHaveRun, n.firstRunAt, n.runZone =
 		e.Trips, e.PossibleRuns, e.PossibleRuns > 0, s.now-e.FirstRunAgo, e.FirstRunZone
 	if e.Inherited && g.Repeat == Numbered {
 		// The notice may have run since its submission, at a receiver that the event does not name.
 		// At-most-once notices that may have run are never passed to another sender.
-		n.mayHaveRun, n.zoneUnknown, n.firstRunAt = true, true, submittedAt
+		n.mayHaveRun, n.zoneUnknown, n.firstRunAt = true, true, n.submittedAt
 	}
 	if e.Key != 0 && g.InOrder {
 		n.key = e.Key
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -13,46 +13,84 @@
 	if rate = r.limitShare * r.limitRate; r.limitRate <= 0 {
 		rate = math.Inf(1)
 	}
-	warmth, outage := float64((s.now-r.recoveredAt)/s.settings.WarmUpTime), r.outageDuration
+	warmth := float64((s.now - r.recoveredAt) / s.settings.WarmUpTime)
 	if r.down {
-		warmth, outage = 0, max(s.now, r.waitUntil, r.outageSince+resetTimeout)-r.outageSince
+		warmth = 0
 	}
 	if warmth >= 1 {
 		return rate, false
 	}
-	capacity := s.capacityShare(r, outage) * (s.settings.ColdCapacity + (1-s.settings.ColdCapacity)*warmth)
-	factor := recoveryRateFactor -
-		(recoveryRateFactor-1)*min(1, fewSenders/float64(max(s.settings.Senders, 1)))
-	return min(rate, factor*s.settings.OverloadFactor*capacity), true
+	coldness := s.settings.ColdCapacity + (1-s.settings.ColdCapacity)*warmth
+	budgetRate := s.settings.OverloadFactor * coldness * s.capacityShare(r)
+	return min(rate, s.budgetUse(r, coldness)*budgetRate), true
+}
+
+// budgetUse returns the part of a recovering route's call budget that all senders together may aim for, when
+// the route has a given share of its capacity. Calls of many senders coincide by chance, so the mean must lie
+// below the most calls that the terms allow by aimDeviations standard deviations. The calls of few senders
+// hardly vary: their part is 1, as it is if the capacity is not known.
+func (s *Sender) budgetUse(r *route, capacityShare float64) float64 {
+	budget := s.settings.OverloadFactor * max(r.limitRate, r.listedRate) * capacityShare *
+		float64(s.settings.OverloadTime)
+	if budget <= 0 {
+		return 1
+	}
+	// The mean m solves m + aimDeviations x root of m = mostCalls.
+	root := (math.Sqrt(aimDeviations*aimDeviations+4*mostCalls(budget)) - aimDeviations) / 2
+	manySenders := 1 - min(1, fewSenders/float64(max(s.settings.Senders, 1)))
+	return 1 + (root*root/budget-1)*manySenders
+}
+
+// mostCalls returns the most calls within an overload time that the terms allow for a budget of calls.
+func mostCalls(budget float64) float64 {
+	if budget < smallBudget {
+		return budget + 3*math.Sqrt(budget) + 3
+	}
+	return budget + 2*math.Sqrt(budget) + 2
 }
 
 // capacityShare returns this sender's part, in calls per millisecond, of the capacity that a route has when
-// it is warm, after an outage of the given length. The notices that all senders hold for the route were
-// accepted during the outage. So this sender's part is its held notices divided by that time, or an even part
-// if that is more. The time is at least a reset time, because many senders see only the end of an outage.
-// Where the route has a limit, more notices may be accepted than it can handle. It handled no more than its
-// rate before the outage, so that rate bounds the part.
-func (s *Sender) capacityShare(r *route, outage Millis) float64 {
-	evenShare := max(r.limitRate, r.listedRate) / float64(max(s.settings.Senders, 1))
-	ownShare := float64(r.destination.heldNotices) / float64(len(r.destination.routes)) / float64(outage)
-	if r.limitRate > 0 {
-		ownShare = min(ownShare, r.maxRateBeforeOutage)
+// it is warm. The notices that all senders hold for the route were accepted since the outage began. So this
+// sender's part is its held notices divided by that time, or an even part if that is more. Where the capacity
+// is known, more notices may be accepted than the route can handle. It handled no more than its rate before
+// the outage, so that rate bounds the part. The parts of all senders add up to the capacity, whether few or
+// all of them hold notices.
+func (s *Sender) capacityShare(r *route) float64 {
+	capacity := max(r.limitRate, r.listedRate)
+	evenShare := capacity / float64(max(s.settings.Senders, 1))
+	d := r.destination
+	ownShare := float64(d.heldNotices) / float64(len(d.routes)) / float64(s.accumulationTime(r))
+	if capacity > 0 {
+		ownShare = min(ownShare, r.rateBeforeOutage)
 	}
 	return max(evenShare, ownShare)
 }
 
-// maxHandledRate returns an upper bound of the rate, in calls per millisecond, at which a route recently
-// handled this sender's calls: the observed rate plus two standard deviations and two calls, because few
-// calls give only a rough estimate. The bound is infinite for a route that has been known for a short time
-// only.
-func (s *Sender) maxHandledRate(r *route) float64 {
-	age := s.now - r.createdAt
-	if age < handledRateKnownAfter {
-		return math.Inf(1)
+// accumulationTime returns the time in which the notices were accepted that are held for a route during or
+// after an outage: the time since the outage began, or since the submission of the notice that expires first,
+// since a sender may have seen only the end of the outage. It is at least a reset time, because a few notices
+// of a shorter time say little about their rate.
+func (s *Sender) accumulationTime(r *route) Millis {
+	began := r.recoveredAt - r.outageDuration
+	if r.down {
+		began = r.outageSince
+	}
+	if unrestricted := r.destination.unrestricted; len(unrestricted) > 0 {
+		began = min(began, unrestricted[0].submittedAt)
 	}
+	return max(s.now-began, r.waitUntil-began, resetTimeout)
+}
+
+// handledRate returns the rate, in calls per millisecond, at which a route recently handled this sender's
+// calls. One call is added, because few calls give only a rough estimate.
+func (s *Sender) handledRate(r *route) float64 {
+	age := s.now - r.createdAt
 	windowShare := 1 - math.Exp(-float64(age/statisticsWindow)) // share of the window since the creation
-	calls := r.handledCalls.read(s.now, statisticsWindow) / windowShare
-	return (calls + 2*math.Sqrt(calls) + 2) / float64(statisticsWindow)
+	calls := r.handledCalls.read(s.now, statisticsWindow)
+	if calls > 0 {
+		calls /= windowShare
+	}
+	return (calls + 1) / float64(statisticsWindow)
 }
 
 // nextCallAt returns the time of the next call to a route. Senders that saw the same outage must not all call
--- a/rules/route_state.go
+++ b/rules/route_state.go
@@ -1,7 +1,5 @@
 package rules
 
-import "math"
-
 // This file reports the part of a route's state that must survive a restart of the sender: outages that were
 // seen, the warm-up after them, and limits that were learnt. Without it a new process would call a destination
 // during an outage and after it as if it were healthy.
@@ -10,9 +8,6 @@
 // receivers report their limit with noise.
 const limitChange = 0.25
 
-// rateUnknown is the RateBeforeOutage of a route that was known for too short a time before the outage.
-const rateUnknown = -1.0
-
 // savedState is what was last reported of a route's state.
 type savedState struct {
 	outageSince, recoveredAt Millis
@@ -73,10 +68,7 @@
 		state.RecoveredAge, state.OutageDuration = s.now-r.recoveredAt, r.outageDuration
 	}
 	if state.InOutage || state.WarmingUp {
-		state.RateBeforeOutage = rateUnknown
-		if !math.IsInf(r.maxRateBeforeOutage, 1) {
-			state.RateBeforeOutage = r.maxRateBeforeOutage * 1000
-		}
+		state.RateBeforeOutage = r.rateBeforeOutage * 1000
 	}
 	return state
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -40,11 +40,13 @@
 	// nearlyFullShare is the share of the hold limit, or of the space, above which the notices with the
 	// lowest expected credit are dismissed.
 	nearlyFullShare = 0.9
-	// recoveryRateFactor is the factor by which each of many senders exceeds its part of the recovery rate;
-	// docs/design.md explains why it may be over 1.
-	recoveryRateFactor = 1.5
-	// fewSenders is the number of senders up to which each uses just its part of the recovery rate.
+	// fewSenders is the number of senders up to which their calls together hardly vary by chance.
 	fewSenders = 4.0
+	// smallBudget is the number of calls below which the terms allow more beyond a budget; see mostCalls.
+	smallBudget = 30.0
+	// aimDeviations is how many standard deviations of the number of calls are left to the most that the terms
+	// allow during a recovery.
+	aimDeviations = 3.0
 	// earnedShareScale is the difference between the earned shares of two grades' credit at which the grade
 	// with the lower share has e (2.7) times the weight of the other.
 	earnedShareScale = 0.2
@@ -78,9 +80,6 @@
 	// count as scarce.
 	minCallsPerKind = 8
 
-	// handledRateKnownAfter is the age of a route from which on its usual rate of handled calls is known.
-	handledRateKnownAfter Millis = statisticsWindow / 3
-
 	// never is a time that does not come.
 	never = Millis(math.MaxFloat64)
 )
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -210,10 +210,10 @@
 	trace := startTrace(t, settingsWithSenders(300), entry(10, 1))
 	trace.note("rule 4: 300 senders got the same wait; six notices held over 6 s are not sent when it ends,")
 	trace.note("but from a random time on, spaced by their share of the notices that all senders hold")
-	trace.accept(1, NoticeAccepted{Destination: 1})
+	trace.accept(1, NoticeAccepted{Destination: 1, TimeLeft: 100_000})
 	trace.endTrip(Refused, requestWait(6000))
-	trace.accept(5, NoticeAccepted{Destination: 1})
-	trace.advance(12_000)
+	trace.accept(5, NoticeAccepted{Destination: 1, TimeLeft: 100_000})
+	trace.advance(90_000)
 }
 
 func TestCallsWithoutResponse(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -111,9 +111,9 @@
 	lastReducedAt               Millis  // when limitShare or delayWindow was last reduced after a refusal
 	recentHandled, recentFailed decayingSum
 	handledCalls                decayingSum // over the statistics window
-	// maxRateBeforeOutage is an upper bound of the rate, in calls per millisecond, at which the route handled
-	// calls when the present or the last outage began.
-	maxRateBeforeOutage float64
+	// rateBeforeOutage is the rate, in calls per millisecond, at which the route handled calls when the present
+	// or the last outage began.
+	rateBeforeOutage float64
 	// outageSince is the time of the first sign of the present outage, or never. lastOutageSignAt is the time
 	// of the last sign, or the end of the wait if the route has one then. The outage ends when a call
 	// succeeds that was sent at or after lastOutageSignAt.
@@ -172,12 +172,13 @@
 
 // notice is a notice that this sender holds, or that ended while its call was outstanding.
 type notice struct {
-	id                                NoticeID
-	grade                             *grade
-	destination                       *destination
-	key                               KeyID
-	credit, urgency, spaceShare       float64
-	quotedUntil, expiresAt, notBefore Millis // expiresAt is the client timeout
+	id                          NoticeID
+	grade                       *grade
+	destination                 *destination
+	key                         KeyID
+	credit, urgency, spaceShare float64
+	submittedAt, quotedUntil    Millis
+	expiresAt, notBefore        Millis // expiresAt is the client timeout
 	// surelyInTimeUntil is the latest time at which a response that is read certainly came before expiresAt,
 	// however long the notice or the response itself waited to be read.
 	surelyInTimeUntil       Millis
