Keep outages, warm-ups and learnt limits across a restart, in the ledger

Cause: all that a sender knew of an outage died with its process. The new one took the outage for as long as it had seen it itself, or, where its first calls were refused together, for a single refusal, and sent what it had restored at once; after a restart in the warm-up it knew of no outage at all.

The decisions now report each change of that state (RouteStateChanged), the ledger keeps the last one of each route in its write of the turn, and the next process gets it back before its restored notices (RouteStateRestored), also for receivers that are listed later. Ages count by the monotonic clock of the boot, so steps of the wall clock don't matter. A torn record leaves the previous one.

--- a/cmd/chuteweir/clock_test.go
+++ b/cmd/chuteweir/clock_test.go
@@ -28,6 +28,10 @@
 			env.must(fresh.RecordTrip(notice.Number, trip))
 		}
 	}
+	for _, route := range previous.Routes() {
+		route.At.Wall -= step.Milliseconds()
+		env.must(fresh.RecordRoute(route))
+	}
 	_, err = fresh.Flush()
 	env.must(err)
 	fresh.Close()
--- a/cmd/chuteweir/recovery_test.go
+++ b/cmd/chuteweir/recovery_test.go
@@ -23,7 +23,7 @@
 // startBeforeOutage starts one of eight senders, and submits notices that all fail.
 func startBeforeOutage(t *testing.T) *environment {
 	env := startEnvironment(t, "[return]", "[return]\ncold_from = 0.2\nwarm = \"10s\"\nfall = \"2s\"",
-		"trips = 4", "trips = 12\nsenders = 8")
+		"trips = 4", "trips = 12", "[sending]", "[senders]\ncount = 8\n[sending]")
 	env.submit("note", "healthy", 12000, 1)
 	env.awaitLines(1, "receiver")
 	env.respondWith(func(*standin.ReceivedCall) standin.Reply { return standin.Reply{Status: 500} })
@@ -53,7 +53,8 @@
 		}
 	}
 	if calls > maxEarlyCalls {
-		t.Errorf("the recovering destination got %d calls within %v, want at most %d", calls, earlyTime, maxEarlyCalls)
+		t.Errorf("the recovering destination got %d calls within %v, want at most %d\n%s", calls, earlyTime,
+			maxEarlyCalls, env.log)
 	}
 }
 
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -83,3 +83,13 @@
 	}
 	return step
 }
+
+// Until returns the time between m and a later moment: by the monotonic clock within one boot, else by the wall clock. It
+// is never negative.
+func (m Moment) Until(later Moment) time.Duration {
+	elapsed := later.Wall - m.Wall
+	if m.Boot != "" && m.Boot == later.Boot {
+		elapsed = later.Monotonic - m.Monotonic
+	}
+	return time.Duration(max(elapsed, 0)) * time.Millisecond
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -62,15 +62,20 @@
 	lastNumber        rules.ReceiverID
 	Addresses         map[rules.ReceiverID]string // of the listed receivers: host and port
 	Zones             map[rules.ReceiverID]rules.ZoneID
+	ids               map[rules.ReceiverID]string // of the listed and the retired receivers
 }
 
 // NewReceivers returns an empty Receivers.
 func NewReceivers(names settings.Names) *Receivers {
 	return &Receivers{names: names, listed: map[string]identity{}, retired: map[string]identity{},
 		knownDestinations: map[rules.DestinationID]bool{},
-		Addresses:         map[rules.ReceiverID]string{}, Zones: map[rules.ReceiverID]rules.ZoneID{}}
+		Addresses:         map[rules.ReceiverID]string{}, Zones: map[rules.ReceiverID]rules.ZoneID{},
+		ids: map[rules.ReceiverID]string{}}
 }
 
+// ID returns the ID of a receiver that is listed or was removed lately, otherwise "".
+func (r *Receivers) ID(number rules.ReceiverID) string { return r.ids[number] }
+
 // Knows reports whether a destination has ever been listed.
 func (r *Receivers) Knows(d rules.DestinationID) bool { return r.knownDestinations[d] }
 
@@ -129,9 +134,11 @@
 		if listed {
 			r.remove(member.ID, update)
 		}
+		delete(r.ids, known.number)
 		r.lastNumber++
 		current.number = r.lastNumber
 	}
+	r.ids[current.number] = member.ID
 	delete(r.retired, member.ID)
 	r.listed[member.ID] = current
 	return current
@@ -148,6 +155,9 @@
 	delete(r.Zones, known.number)
 	r.retired[id] = known
 	if r.retiredOrder = append(r.retiredOrder, id); len(r.retiredOrder) > maxRetired {
+		if oldest, isRetired := r.retired[r.retiredOrder[0]]; isRetired {
+			delete(r.ids, oldest.number)
+		}
 		delete(r.retired, r.retiredOrder[0])
 		r.retiredOrder = slices.Delete(r.retiredOrder, 0, 1)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -70,6 +70,7 @@
 	kindOutcome     = 'e' // payload: retry time in milliseconds, outcome
 	kindClosed      = 'c' // nothing remains to be done for the notice
 	kindTripsNotRun = 'm' // payload: number of trips that were made and did not run
+	kindRoute       = 'r' // of no notice, with the number 0; payload: JSON of a RouteRecord
 )
 
 const (
@@ -88,10 +89,12 @@
 	size            int64 // of the file, in bytes
 	liveBytes       int64 // of the live acceptance records, with reservedPerNotice for each notice
 	notices         map[rules.NoticeID]*liveRecords
-	buffered        []byte           // records that are not in the file yet
-	bufferedNotices []rules.NoticeID // notices whose acceptance is among the buffered records
-	needsCompaction bool             // buffered records were dropped after a failed write
-	Torn            int              // unreadable bytes at the end of the file that an earlier process left
+	routes          map[routeKey][]byte // live records of routes
+	routeBytes      int64               // length of all of these
+	buffered        []byte              // records that are not in the file yet
+	bufferedNotices []rules.NoticeID    // notices whose acceptance is among the buffered records
+	needsCompaction bool                // buffered records were dropped after a failed write
+	Torn            int                 // unreadable bytes at the end of the file that an earlier process left
 }
 
 // liveRecords is the records of a notice that a compacted file contains.
@@ -105,16 +108,20 @@
 // notices in the order in which they were accepted. Unreadable bytes at the end, such as a partly written record,
 // are discarded and counted in Torn. The files of the state directory take up at most capacity bytes.
 func Open(stateDir string, capacity int64) (*Ledger, []Notice, error) {
-	l := &Ledger{stateDir: stateDir, capacity: capacity, notices: map[rules.NoticeID]*liveRecords{}}
+	l := &Ledger{stateDir: stateDir, capacity: capacity, notices: map[rules.NoticeID]*liveRecords{},
+		routes: map[routeKey][]byte{}}
 	os.Remove(l.path() + ".new")
 	data, err := os.ReadFile(l.path())
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, err
 	}
 	report := scan(data, func(number rules.NoticeID, kind byte, record []byte, pending bool) {
-		if pending {
+		switch {
+		case kind == kindRoute:
+			l.applyRoute(record)
+		case pending:
 			l.apply(number, kind, record)
-		} else {
+		default:
 			l.forget(number)
 		}
 	})
@@ -135,7 +142,7 @@
 
 // kindNames maps the kinds of record to their names in a Report.
 var kindNames = map[byte]string{kindAccepted: "taken", kindTrip: "trip", kindNotRun: "never ran", kindOutcome: "ended",
-	kindClosed: "closed", kindTripsNotRun: "trips made"}
+	kindClosed: "closed", kindTripsNotRun: "trips made", kindRoute: "route"}
 
 // Read reads the ledger in a state directory without changing it. It can be used while a sender writes to the
 // ledger; the record that is being written may then be counted as torn.
@@ -231,7 +238,7 @@
 	needed := int64(headerSize + minRecordLen + len(payload) + reservedPerNotice)
 	// The live records must fit twice, since compaction copies them, along with the outdated records of the old
 	// file.
-	if l.liveBytes+needed > l.capacity*2/5 {
+	if l.liveBytes+l.routeBytes+needed > l.capacity*2/5 {
 		return ErrFull
 	}
 	if l.size+int64(len(l.buffered))+needed > l.capacity/2 || l.needsCompaction {
@@ -304,6 +311,8 @@
 	switch kind {
 	case kindClosed:
 		l.forget(number)
+	case kindRoute:
+		l.applyRoute(record)
 	default:
 		l.apply(number, kind, record)
 		if kind == kindAccepted {
@@ -412,6 +421,9 @@
 	}
 	slices.Sort(numbers)
 	var data []byte
+	for _, record := range l.routes {
+		data = append(data, record...)
+	}
 	for _, number := range numbers {
 		records := l.notices[number]
 		data = append(data, records.accepted...)
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -14,6 +14,7 @@
 	Breaker                  = "breaker"
 	Outage                   = "outage"
 	OutageSign               = "outage_sign"
+	RouteRestored            = "route_restored"
 	Reloaded                 = "reloaded"
 	ReloadRefused            = "reload_refused"
 	ConfigWarning            = "config_odd"
@@ -66,6 +67,8 @@
 		"an outage of a route: `down` or `confirmed` (calls are spaced as long as it lasts; `age` is the time since its first sign), or `warming_up` (it ended `age` ago after `lasted`); `rate_before` is the rate of handled calls before it and `limit` the reported limit, both in calls a second, and `held` the notices held for the destination"},
 	{OutageSign, "debug", []string{"destination", "route", "state", "limit", "held"}, false,
 		"`sign`: a failure or refusal that may begin an outage; `healthy`: no sign, outage or warm-up is left"},
+	{RouteRestored, "info", []string{"destination", "receiver", "in_outage", "down", "since", "warming_up", "recovered", "rate_before", "limit"}, true,
+		"what an earlier process recorded of a route was restored: whether it is in an outage, and the time `since` its first sign; whether it warms up after one, and how long ago it `recovered`; `rate_before` and `limit` as in `outage`"},
 	{Reloaded, "info", []string{"discovery", "owed"}, false,
 		"SIGHUP: the configuration was reloaded; `owed` outcome reports are pending and go to the new address"},
 	{ReloadRefused, "error", []string{"why"}, false,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -70,9 +70,11 @@
 	arrivals             arrivals
 	notices              map[rules.NoticeID]*heldNotice
 	lastNumber           rules.NoticeID
-	awaitingConfirmation int             // number of ended notices that are held until their outcomes are confirmed
-	restored             []ledger.Notice // pending since an earlier process, not yet passed to the decisions
-	heldBytes            int             // memory that the bodies of notices take
+	awaitingConfirmation int                                  // number of ended notices that are held until their outcomes are confirmed
+	restored             []ledger.Notice                      // pending since an earlier process, not yet passed to the decisions
+	recordedRoutes       map[recordedRoute]ledger.RouteRecord // by an earlier process, not yet passed to the decisions
+	newEntries           []rules.Entry                        // of the receiver list, since the last turn
+	heldBytes            int                                  // memory that the bodies of notices take
 	acceptedIDs          recentIDs
 	endedIDs             recentIDs   // notices whose final outcome was reported, which must not happen twice
 	timers               []time.Time // requested by the decisions
@@ -120,7 +122,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("the configured receivers are invalid: %w", err)
 	}
-	l.events = append(l.events, listed)
+	l.events, l.newEntries = append(l.events, listed), listed.Entries
 	var pending []ledger.Notice
 	if l.ledger, pending, err = ledger.Open(c.StateDir, c.Limits.Disk); err != nil {
 		return nil, err
@@ -131,6 +133,10 @@
 	for _, n := range pending {
 		l.restore(n)
 	}
+	l.recordedRoutes = map[recordedRoute]ledger.RouteRecord{}
+	for _, route := range l.ledger.Routes() {
+		l.recordedRoutes[recordedRoute{route.Destination, route.Receiver}] = route
+	}
 	if l.net, err = sockets.Start(c.Listen, c.Limits, l.buffers, l.intake); err != nil {
 		return nil, err
 	}
@@ -312,11 +318,13 @@
 
 // collectEvents turns what the connections and the receiver list have reported into events.
 func (l *Loop) collectEvents() {
-	l.reportRestored()
 	lists, failed := l.directory.TakeLists()
 	for _, list := range lists {
 		l.events = append(l.events, list)
+		l.newEntries = append(l.newEntries, list.Entries...)
 	}
+	l.restoreRouteStates()
+	l.reportRestored()
 	for _, receiver := range l.receivers.TakeRemoved() {
 		l.calls.RemoveReceiver(receiver)
 	}
@@ -398,6 +406,7 @@
 	case rules.WatchList:
 		l.directory.Watch()
 	case rules.RouteStateChanged:
+		l.recordRouteState(a)
 		l.logRouteState(a)
 	case rules.BreakerChanged:
 		l.log.Info(logs.Breaker, "destination", a.Destination, "route", a.Route, "state", a.State, "why", a.Reason)
--- a/internal/model/sender.go
+++ b/internal/model/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 
 	"chuteweir.example/chuteweir/internal/audit"
@@ -51,6 +52,12 @@
 	outcomeAccepted bool         // the platform accepted the final outcome
 }
 
+// recordedState is what the ledger would record of a route's state.
+type recordedState struct {
+	state rules.RouteState
+	at    rules.Millis
+}
+
 // listReport is a report of the receiver list, with the entries that the auditor records.
 type listReport struct {
 	list     rules.ListUpdated
@@ -74,6 +81,7 @@
 	events                               []rules.Event     // for the next turn
 	pendingAnswers                       []*heldNotice     // accepted since the last turn, not yet answered
 	notices                              map[rules.NoticeID]*heldNotice
+	routeStates                          map[rules.ReceiverID]recordedState // by the first receiver of the route
 	lastID                               rules.NoticeID
 	turnDue                              bool // a turn is scheduled
 	lastTurnAt                           rules.Millis
@@ -96,7 +104,7 @@
 // newSender creates a sender and starts it.
 func newSender(run *runData, p port, number int) *sender {
 	s := &sender{port: p, run: run, number: number, notices: map[rules.NoticeID]*heldNotice{},
-		timeoutCheckAt: never, initialList: run.initialList}
+		routeStates: map[rules.ReceiverID]recordedState{}, timeoutCheckAt: never, initialList: run.initialList}
 	s.limits = limits.For(run.Machine, run.Settings, connectTime)
 	s.connLimit = s.limits.MaxReceiverConnections
 	s.start()
@@ -127,6 +135,7 @@
 	}
 	slices.Sort(ids)
 	s.events = append(s.events, s.initialList)
+	s.restoreRouteStates()
 	for _, id := range ids {
 		held := s.notices[id]
 		if held.call = nil; held.outcome != "" {
@@ -153,6 +162,15 @@
 	s.scheduleTurn()
 }
 
+// restoreRouteStates reports to the decider what the ledger recorded of the routes.
+func (s *sender) restoreRouteStates() {
+	for _, receiver := range slices.Sorted(maps.Keys(s.routeStates)) {
+		recorded := s.routeStates[receiver]
+		s.events = append(s.events, rules.RouteStateRestored{Receiver: receiver,
+			State: recorded.state.After(s.now() - recorded.at)})
+	}
+}
+
 // acceptedEvent describes a notice to the decider.
 func (s *sender) acceptedEvent(h *heldNotice) rules.NoticeAccepted {
 	eff := h.submission.effect
@@ -365,6 +383,8 @@
 		s.schedule(a.After, event{kind: evDeciderTimer, value: int64(s.startCount)})
 	case rules.WatchList:
 		s.post(clientNode, s.transitTime(), event{kind: evWatchList})
+	case rules.RouteStateChanged:
+		s.routeStates[a.Route] = recordedState{a.State, s.now()}
 	case rules.BreakerChanged:
 		if s.run.record {
 			s.breakerChanges = append(s.breakerChanges, BreakerChange{At: s.now(), Sender: s.number,
--- a/rules/api.go
+++ b/rules/api.go
@@ -93,15 +93,26 @@
 // RouteState is the part of a route's state that a sender must still take into account after a restart. Ages
 // are durations up to the time of the action or event that carries it.
 type RouteState struct {
-	InOutage         bool    // an outage was seen and its end was not
-	Down             bool    // with InOutage: calls are spaced as during an outage
-	Confirmed        bool    // with InOutage: the outage is confirmed
-	OutageAge        Millis  // with InOutage: time since its first sign
-	WarmingUp        bool    // an outage has ended, and the warm-up after it is not over
-	RecoveredAge     Millis  // with WarmingUp: time since the end of that outage
-	OutageDuration   Millis  // with WarmingUp: length of that outage
-	RateBeforeOutage float64 // calls per second handled before that outage
-	Limit            float64 // calls per second that the receivers reported; 0: none
+	InOutage         bool    `json:",omitempty"` // an outage was seen and its end was not
+	Down             bool    `json:",omitempty"` // with InOutage: calls are spaced as during an outage
+	Confirmed        bool    `json:",omitempty"` // with InOutage: the outage is confirmed
+	OutageAge        Millis  `json:",omitempty"` // with InOutage: time since its first sign
+	WarmingUp        bool    `json:",omitempty"` // an outage has ended, the warm-up after it is not over
+	RecoveredAge     Millis  `json:",omitempty"` // with WarmingUp: time since the end of that outage
+	OutageDuration   Millis  `json:",omitempty"` // with WarmingUp: length of that outage
+	RateBeforeOutage float64 `json:",omitempty"` // calls per second handled before that outage
+	Limit            float64 `json:",omitempty"` // calls per second that the receivers reported; 0: none
+}
+
+// After returns the state a duration later, with its ages increased.
+func (r RouteState) After(elapsed Millis) RouteState {
+	if r.InOutage {
+		r.OutageAge += elapsed
+	}
+	if r.WarmingUp {
+		r.RecoveredAge += elapsed
+	}
+	return r
 }
 
 // ReceiverStatus is the status of a receiver in the receiver list.
@@ -215,23 +226,30 @@
 		Complete bool // Entries is the whole list; receivers that are not in it are gone
 		Entries  []Entry
 	}
+	// RouteStateRestored reports what an earlier process of this sender recorded of a route. It follows the
+	// ListUpdated that first lists one of the route's receivers.
+	RouteStateRestored struct {
+		Receiver ReceiverID // any receiver of the route
+		State    RouteState
+	}
 	// ListFailed reports that the watch of the receiver list could not be started, or broke.
 	ListFailed struct{}
 	// TimerDue reports that a timer fired.
 	TimerDue struct{ Timer TimerID }
 )
 
-func (NoticeAccepted) event()   {}
-func (TripEnded) event()        {}
-func (ConnectionUp) event()     {}
-func (WaitRequested) event()    {}
-func (OutcomeConfirmed) event() {}
-func (OutcomeRetracted) event() {}
-func (UnsolicitedBytes) event() {}
-func (NoticeWithdrawn) event()  {}
-func (ListUpdated) event()      {}
-func (ListFailed) event()       {}
-func (TimerDue) event()         {}
+func (NoticeAccepted) event()     {}
+func (TripEnded) event()          {}
+func (ConnectionUp) event()       {}
+func (WaitRequested) event()      {}
+func (OutcomeConfirmed) event()   {}
+func (OutcomeRetracted) event()   {}
+func (UnsolicitedBytes) event()   {}
+func (NoticeWithdrawn) event()    {}
+func (ListUpdated) event()        {}
+func (ListFailed) event()         {}
+func (RouteStateRestored) event() {}
+func (TimerDue) event()           {}
 
 // Action is something that the caller must do for this sender, in the order that Decide returns.
 type Action interface{ action() }
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -82,14 +82,12 @@
 }
 
 // handledRate returns the rate, in calls per millisecond, at which a route recently handled this sender's
-// calls. One call is added, because few calls give only a rough estimate.
+// calls. One call is added, because few calls give only a rough estimate. For a route that was created less
+// than minObservation ago, the rate is too low.
 func (s *Sender) handledRate(r *route) float64 {
-	age := s.now - r.createdAt
+	age := max(s.now-r.createdAt, minObservation)
 	windowShare := 1 - math.Exp(-float64(age/statisticsWindow)) // share of the window since the creation
-	calls := r.handledCalls.read(s.now, statisticsWindow)
-	if calls > 0 {
-		calls /= windowShare
-	}
+	calls := r.handledCalls.read(s.now, statisticsWindow) / windowShare
 	return (calls + 1) / float64(statisticsWindow)
 }
 
--- a/rules/route_state.go
+++ b/rules/route_state.go
@@ -1,8 +1,11 @@
 package rules
 
-// This file reports the part of a route's state that must survive a restart of the sender: outages that were
-// seen, the warm-up after them, and limits that were learnt. Without it a new process would call a destination
-// during an outage and after it as if it were healthy.
+// This file reports the part of a route's state that must survive a restart of the sender, and restores it:
+// outages that were seen, the warm-up after them, and limits that were learnt. Without it a new process would
+// call a destination during an outage and after it as if it were healthy.
+
+// OutageRetention is how long an outage without further signs is remembered of a route that is not listed.
+const OutageRetention = 20 * statisticsWindow
 
 // limitChange is the relative change of a reported limit from which on the new limit is reported again. Some
 // receivers report their limit with noise.
@@ -72,3 +75,33 @@
 	}
 	return state
 }
+
+// restoreRouteState applies what an earlier process recorded of a route, unless this process has learnt of an
+// outage by itself. The next call is due at a random time, because other senders may restart at the same time.
+func (s *Sender) restoreRouteState(e RouteStateRestored) {
+	rc := s.receivers[e.Receiver]
+	if rc == nil {
+		return
+	}
+	r, state := rc.route, e.State
+	if r.outageSince != never || s.warmingUp(r) {
+		return
+	}
+	if r.limitRate == 0 {
+		r.limitRate = state.Limit / 1000
+	}
+	r.rateBeforeOutage = state.RateBeforeOutage / 1000
+	if state.WarmingUp {
+		r.recoveredAt, r.outageDuration = s.now-state.RecoveredAge, state.OutageDuration
+	}
+	if state.InOutage {
+		r.outageSince, r.lastOutageSignAt = s.now-state.OutageAge, s.now
+		r.down, r.outageConfirmed = state.Down, state.Confirmed
+	}
+	r.pacingStart, r.pacingPhase = s.now, s.random()
+	r.saved = savedState{outageSince: r.outageSince, recoveredAt: -never, down: r.down,
+		confirmed: r.outageConfirmed, limitRate: r.limitRate}
+	if s.warmingUp(r) {
+		r.saved.recoveredAt = r.recoveredAt
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -80,6 +80,9 @@
 	// count as scarce.
 	minCallsPerKind = 8
 
+	// minObservation is the shortest time over which the rate of handled calls of a route is computed.
+	minObservation Millis = statisticsWindow / 3
+
 	// never is a time that does not come.
 	never = Millis(math.MaxFloat64)
 )
@@ -122,6 +125,8 @@
 			}
 		case ListUpdated:
 			s.updateList(e)
+		case RouteStateRestored:
+			s.restoreRouteState(e)
 		case ListFailed:
 			s.watchListAt = s.now + s.settings.RewatchWithin/16*Millis(1+s.random())
 		}
