Remember an outage while the receivers of its route are off the list

A route whose receivers left the list was forgotten after 30 s, one that is a single receiver at once, with the outage that this sender had seen: a destination replaced or removed for a moment in its outage came back unknown and got all calls at once (in the tests 2, 2 and, in one call of three, 6 notices where one call is allowed). When a route is forgotten, so is its record in the ledger.

--- a/rules/route_state.go
+++ b/rules/route_state.go
@@ -59,6 +59,20 @@
 // warmingUp reports whether a route's last outage has ended and the warm-up after it is not over.
 func (s *Sender) warmingUp(r *route) bool { return s.now-r.recoveredAt < s.settings.WarmUpTime }
 
+// remembersOutage reports whether an outage of a route, or the warm-up after it, must be remembered although no
+// receiver of the route is listed.
+func (s *Sender) remembersOutage(r *route) bool {
+	return s.warmingUp(r) || r.outageSince != never && s.now-r.lastOutageSignAt < OutageRetention
+}
+
+// reportForgottenRoute reports that nothing of a route's state needs to survive a restart any more.
+func (s *Sender) reportForgottenRoute(r *route) {
+	if r.saved != (savedState{outageSince: never, recoveredAt: -never}) {
+		s.emit(RouteStateChanged{Destination: r.destination.id, Route: r.id,
+			Separate: r.destination.kind.SeparateRoutes})
+	}
+}
+
 // routeState returns the part of a route's state that must survive a restart.
 func (s *Sender) routeState(r *route) RouteState {
 	state := RouteState{Limit: r.limitRate * 1000}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -431,9 +431,11 @@
 	trace.advance(4000)
 	recordSizes()
 	trace.endTrip(TimedOut)
-	trace.note("the receiver list is empty")
+	trace.note("the receiver list is empty; the outage that the time-out may be a sign of is remembered for long")
 	trace.advance(30_000)
 	recordSizes()
+	trace.advance(OutageRetention)
+	recordSizes()
 }
 
 // Calls that were sent together and are refused together count as one refusal: the pause after them is one
--- a/rules/state.go
+++ b/rules/state.go
@@ -505,8 +505,9 @@
 // cleanUp deletes state that is no longer needed, so that the memory of a long-running sender does not grow:
 // receivers that are gone from the list and have neither an outstanding call nor a requested wait, keys
 // without notices or a cooldown, and routes without receivers. The last route of a destination is kept while
-// the destination has held notices, a wait, or had a receiver within the breaker's statistics window: so the
-// state of its breaker survives when all its receivers are replaced.
+// the destination has held notices, a wait, an outage that is remembered, or had a receiver within the breaker's
+// statistics window: so its state survives when all its receivers are replaced. A receiver that is a route of
+// its own is kept while an outage of it is remembered.
 func (s *Sender) cleanUp() {
 	if s.now < s.cleanUpAt {
 		return
@@ -517,7 +518,8 @@
 			s.noteStateChange(r)
 		}
 		r.receivers = slices.DeleteFunc(r.receivers, func(rc *receiver) bool {
-			if rc.status != Gone || s.now < rc.route.requestedWaitUntil ||
+			if rc.status != Gone || s.now < r.requestedWaitUntil ||
+				r.destination.kind.SeparateRoutes && s.remembersOutage(r) ||
 				slices.ContainsFunc(r.outstanding, func(c *call) bool { return c.receiver == rc }) {
 				return false
 			}
@@ -529,10 +531,11 @@
 		case len(r.receivers) > 0:
 			r.lastListedAt = s.now
 			return false
-		case len(d.routes) == 1 &&
-			(d.heldNotices > 0 || s.now < max(r.lastListedAt+statisticsWindow, r.waitUntil)):
+		case len(d.routes) == 1 && (d.heldNotices > 0 || s.remembersOutage(r) ||
+			s.now < max(r.lastListedAt+statisticsWindow, r.waitUntil)):
 			return false
 		}
+		s.reportForgottenRoute(r)
 		d.routes = slices.DeleteFunc(d.routes, func(o *route) bool { return o == r })
 		r.removed = true
 		s.releaseDestination(d)
