--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -366,6 +366,14 @@
 	return nil, nil
 }
 
+// RetryFailedWrite writes again what a failed write has left out, if anything.
+func (l *Ledger) RetryFailedWrite() error {
+	if !l.needsCompaction {
+		return nil
+	}
+	return l.Compact()
+}
+
 // appendRecord appends a record with its header to a buffer.
 func appendRecord(buffer []byte, number rules.NoticeID, kind byte, payload []byte) []byte {
 	start := len(buffer)
@@ -459,6 +467,7 @@
 
 // Close writes the buffered records and closes the file.
 func (l *Ledger) Close() error {
+	retryErr := l.RetryFailedWrite()
 	_, err := l.Flush()
-	return errors.Join(err, l.file.Close())
+	return errors.Join(retryErr, err, l.file.Close())
 }
--- a/internal/ledger/routes_test.go
+++ b/internal/ledger/routes_test.go
@@ -72,3 +72,21 @@
 	}
 	failOnError(t, flush(l), l.RecordAccepted(newNotice(1, "one")))
 }
+
+// Guards against a state that is never written after a failed write, because no notice is accepted any more.
+func TestRouteStateIsWrittenOnceTheFileIsWritableAgain(t *testing.T) {
+	stateDir := t.TempDir()
+	l, _, err := Open(stateDir, 1<<20)
+	failOnError(t, err, l.RecordRoute(RouteRecord{Destination: 1, State: downFor(1)}), flush(l))
+	writableFile := l.file
+	l.file, err = os.Open(l.path()) // opened read-only, so that writes fail
+	failOnError(t, err, l.RecordRoute(RouteRecord{Destination: 1, State: downFor(2)}))
+	if flush(l) == nil {
+		t.Fatal("Flush returned no error although the file is not writable")
+	}
+	l.file = writableFile
+	failOnError(t, l.RetryFailedWrite(), l.RetryFailedWrite())
+	if diff := cmp.Diff(map[rules.DestinationID]rules.RouteState{1: downFor(2)}, recordedStates(t, stateDir)); diff != "" {
+		t.Errorf("states after the file became writable, -want +got:\n%s", diff)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -237,6 +237,7 @@
 	l.setTime(time.Now())
 	if !l.now.Before(l.nextSweep) {
 		l.nextSweep = l.now.Add(l.config.Limits.SweepInterval)
+		l.logLedgerError(l.ledger.RetryFailedWrite())
 		l.intake.Sweep(l.now)
 		l.calls.Sweep()
 	}
