--- a/internal/trial/process.go
+++ b/internal/trial/process.go
@@ -224,7 +224,10 @@
 	<-s.exited
 }
 
-// shutdown sends SIGTERM, and kills the process if it has not exited within 4 s.
+// killAfter is the time from SIGTERM to SIGKILL: the shortest that the platform allows for a planned restart.
+const killAfter = 3700 * time.Millisecond
+
+// shutdown sends SIGTERM, and kills the process if it has not exited within killAfter.
 func (s *Sender) shutdown() error {
 	s.sampleUsage()
 	s.recordState("leaving")
@@ -236,10 +239,10 @@
 				strings.Join(s.recentLog, "\n"))
 		}
 		return nil
-	case <-time.After(4 * time.Second):
+	case <-time.After(killAfter):
 		s.signal(syscall.SIGKILL)
 		<-s.exited
-		return fmt.Errorf("sender %d did not exit within 4 s of SIGTERM", s.number)
+		return fmt.Errorf("sender %d did not exit within %v of SIGTERM", s.number, killAfter)
 	}
 }
 
