Record the outages that calls out late in a shutdown show

From 2.4 s after SIGTERM on the decisions are not asked any more, so what the calls that end until 3.2 s tell of an outage was lost for the next process. Their outcomes now still reach the decisions, which send and end nothing by them.

--- a/cmd/chuteweir/recovery_test.go
+++ b/cmd/chuteweir/recovery_test.go
@@ -98,3 +98,20 @@
 		})
 	}
 }
+
+// Guards against losing what the calls that end late in a shutdown tell about an outage.
+func TestOutageSeenAtTheEndOfAShutdownIsRecorded(t *testing.T) {
+	t.Parallel()
+	env := startEnvironment(t)
+	env.respondWith(func(*standin.ReceivedCall) standin.Reply {
+		return standin.Reply{Status: 500, Delay: 2700 * time.Millisecond}
+	})
+	env.submit("note", "n-1", 12000, 1)
+	env.awaitLines(1, "receiver")
+	env.shutDown()
+	env.respondWith(respondOK)
+	env.startSender()
+	if !strings.Contains(env.log.String(), "in_outage=true") {
+		t.Errorf("want the outage restored that the call out at the shutdown has shown: %s", env.log)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -259,7 +259,11 @@
 		}
 	} else {
 		l.recallAll()
-		l.events = l.events[:0] // what they report is already in the ledger
+		// What the events report of notices is already in the ledger.
+		for _, a := range l.sender.NoteOutcomes(toMillis(l.now.Sub(l.started)), l.events) {
+			l.execute(a)
+		}
+		l.events = l.events[:0]
 	}
 	for _, number := range l.directory.TakeConfirmed() {
 		if l.tracing {
--- a/rules/route_state.go
+++ b/rules/route_state.go
@@ -59,6 +59,20 @@
 // warmingUp reports whether a route's last outage has ended and the warm-up after it is not over.
 func (s *Sender) warmingUp(r *route) bool { return s.now-r.recoveredAt < s.settings.WarmUpTime }
 
+// NoteOutcomes takes the outcomes of trips into account without sending anything or ending any notice, and
+// returns the changes of routes' states. It replaces Decide late in a shutdown.
+func (s *Sender) NoteOutcomes(now Millis, events []Event) []Action {
+	s.now, s.actions = now, nil
+	for _, e := range events {
+		if ended, ok := e.(TripEnded); ok {
+			s.endTrip(ended)
+		}
+	}
+	s.actions = nil
+	s.reportRouteStates()
+	return s.actions
+}
+
 // remembersOutage reports whether an outage of a route, or the warm-up after it, must be remembered although no
 // receiver of the route is listed.
 func (s *Sender) remembersOutage(r *route) bool {
