Heed the warm-up after every outage in which calls were spaced

After an outage that a sender had only suspected (two lost calls, nothing handled for two overload times) and for less than 4 s, its first success ended the spacing, and it sent what it held at once. A restarted sender sees most outages like that: it knows of nothing handled before.

--- a/internal/model/recovery_test.go
+++ b/internal/model/recovery_test.go
@@ -79,3 +79,33 @@
 		})
 	}
 }
+
+// shortOutage makes the first fault of a scenario a short outage, and replaces the others by restarts.
+func shortOutage(s *scenario.Scenario, duration rules.Millis, restarts ...scenario.Fault) {
+	s.Faults[0].At, s.Faults[0].For = outageEnd-duration, duration
+	s.Faults = append(s.Faults[:1], restarts...)
+}
+
+// Guards against an outage that restarted senders see only briefly, and after which they heed no warm-up.
+func TestRecoveringDestinationIsNotOverloadedAfterShortOutageWithRestart(t *testing.T) {
+	for _, duration := range []rules.Millis{4000, 6000} {
+		t.Run(fmt.Sprintf("%.0f ms", duration), func(t *testing.T) {
+			t.Parallel()
+			expectNoOverload(t, restartScenario, 10, func(s *scenario.Scenario) {
+				shortOutage(s, duration, restart(scenario.Kill, 400-duration, 1))
+			})
+		})
+	}
+}
+
+// Guards against calls of senders that saw one refusal or lost call each, and are not paced at the end of the outage.
+func TestRecoveringDestinationIsNotOverloadedAfterSingleSigns(t *testing.T) {
+	for _, duration := range []rules.Millis{1200, 2500, 4000} {
+		t.Run(fmt.Sprintf("%.0f ms", duration), func(t *testing.T) {
+			t.Parallel()
+			expectNoOverload(t, restartScenario, 10, func(s *scenario.Scenario) {
+				shortOutage(s, duration)
+			})
+		})
+	}
+}
--- a/rules/outcomes.go
+++ b/rules/outcomes.go
@@ -151,7 +151,7 @@
 	// A response to a call that was sent before the last sign of an outage does not show that the outage is
 	// over.
 	if c.sentAt >= r.lastOutageSignAt {
-		if r.outageConfirmed || s.now-r.outageSince >= confirmingOverloadTimes*s.settings.OverloadTime {
+		if r.down || s.now-r.outageSince >= confirmingOverloadTimes*s.settings.OverloadTime {
 			r.recoveredAt, r.outageDuration = s.now, max(s.now-r.outageSince, resetTimeout)
 		}
 		if r.outageSince != never {
