--- a/rules/pace.go
+++ b/rules/pace.go
@@ -20,9 +20,9 @@
 	if warmth >= 1 {
 		return rate, false
 	}
-	coldness := s.settings.ColdCapacity + (1-s.settings.ColdCapacity)*warmth
-	budgetRate := s.settings.OverloadFactor * coldness * s.capacityShare(r)
-	return min(rate, s.budgetUse(r, coldness)*budgetRate), true
+	presentShare := s.settings.ColdCapacity + (1-s.settings.ColdCapacity)*warmth
+	budgetRate := s.settings.OverloadFactor * presentShare * s.capacityShare(r)
+	return min(rate, s.budgetUse(r, presentShare)*budgetRate), true
 }
 
 // budgetUse returns the part of a recovering route's call budget that all senders together may aim for, when
