--- a/cmd/chuteweir/recovery_test.go
+++ b/cmd/chuteweir/recovery_test.go
@@ -42,6 +42,18 @@
 	env.startSender()
 }
 
+// awaitLog waits until the sender has logged a text.
+func (env *environment) awaitLog(text string) {
+	env.t.Helper()
+	for range 300 {
+		if strings.Contains(env.log.String(), text) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	env.t.Fatalf("no %q in the log within 3 s: %s", text, env.log)
+}
+
 // expectFewEarlyCalls expects that the recovering destination gets no more calls than it bears.
 func (env *environment) expectFewEarlyCalls(t *testing.T) {
 	t.Helper()
@@ -81,6 +93,14 @@
 			env.stepWallClock(time.Hour)
 			env.recover()
 		},
+		"killed, and its receiver is listed only later": func(env *environment) {
+			env.killSender()
+			env.platform.Change(env.member("s-1-1", 1, "gone"))
+			env.recover()
+			time.Sleep(300 * time.Millisecond)
+			env.platform.Change(env.member("s-1-1", 1, "ready"))
+			env.awaitLog("route_restored")
+		},
 		"killed in the warm-up": func(env *environment) {
 			env.respondWith(respondOK)
 			env.setTrace(nil)
