--- a/rules/route_state.go
+++ b/rules/route_state.go
@@ -73,8 +73,8 @@
 	return s.actions
 }
 
-// remembersOutage reports whether an outage of a route, or the warm-up after it, must be remembered although no
-// receiver of the route is listed.
+// remembersOutage reports whether an outage of a route, or the warm-up after it, must be remembered although
+// no receiver of the route is listed.
 func (s *Sender) remembersOutage(r *route) bool {
 	return s.warmingUp(r) || r.outageSince != never && s.now-r.lastOutageSignAt < OutageRetention
 }
@@ -105,7 +105,8 @@
 }
 
 // restoreRouteState applies what an earlier process recorded of a route, unless this process has learnt of an
-// outage by itself. The next call is due at a random time, because other senders may restart at the same time.
+// outage by itself. The next call is due at a random time, because other senders may restart at the same
+// time.
 func (s *Sender) restoreRouteState(e RouteStateRestored) {
 	rc := s.receivers[e.Receiver]
 	if rc == nil {
