--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,8 +44,8 @@
 	fewSenders = 4.0
 	// smallBudget is the number of calls below which the terms allow more beyond a budget; see mostCalls.
 	smallBudget = 30.0
-	// aimDeviations is how many standard deviations of the number of calls are left to the most that the terms
-	// allow during a recovery.
+	// aimDeviations is how many standard deviations of the number of calls are left to the most that the
+	// terms allow during a recovery.
 	aimDeviations = 3.0
 	// earnedShareScale is the difference between the earned shares of two grades' credit at which the grade
 	// with the lower share has e (2.7) times the weight of the other.
