Record the end of an outage even when the routes' part of the ledger is full

The end of an outage leaves a record with the limit alone, for which only half of the allowed bytes count. Beyond that it was refused, and the outage's record stayed: the next process would have spaced calls to a healthy destination. A record that is no longer than the one that it replaces is now always written. The test failed before: no capacity for the state of another route.

--- a/internal/ledger/routes.go
+++ b/internal/ledger/routes.go
@@ -55,7 +55,8 @@
 		allowed /= 2
 	}
 	size := int64(headerSize + minRecordLen + len(payload))
-	if !isRemoval && l.routeBytes-int64(len(l.routes[key]))+size > allowed {
+	growth := size - int64(len(l.routes[key]))
+	if !isRemoval && growth > 0 && l.routeBytes+growth > allowed {
 		return ErrTooManyRoutes
 	}
 	return l.append(0, kindRoute, payload)
--- a/internal/ledger/routes_test.go
+++ b/internal/ledger/routes_test.go
@@ -70,7 +70,8 @@
 		t.Errorf("limits take %d bytes, all states %d; want at most %d and %d", limits, l.routeBytes,
 			capacity/routeShare/2, capacity/routeShare)
 	}
-	failOnError(t, flush(l), l.RecordAccepted(newNotice(1, "one")))
+	failOnError(t, flush(l), l.RecordAccepted(newNotice(1, "one")),
+		l.RecordRoute(RouteRecord{Destination: 1, State: rules.RouteState{Limit: 40}})) // the end of an outage
 }
 
 // Guards against a state that is never written after a failed write, because no notice is accepted any more.
