--- /dev/null
+++ b/review/stage-2/case6.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// wrongDestination restarts a sender that holds messages for destination 1. While it is down, the receiver of
+// destination 1 is replaced, and a new receiver of destination 2 takes the address of the old one. The known list of the
+// configuration is what the sender had at its end.
+func wrongDestination(s *stage) (int, error) {
+	all := &receivers{stage: s}
+	first, err := all.open("s-1a", 1, "", 2, 350*time.Millisecond)
+	if err != nil {
+		return couldNot, err
+	}
+	other, err := all.open("s-2a", 2, "", 2, 350*time.Millisecond)
+	if err != nil {
+		return couldNot, err
+	}
+	p, err := s.newPlatform(first.member("ready"), other.member("ready"))
+	if err != nil {
+		return couldNot, err
+	}
+	n, err := s.newSender("n1", p.address, map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 512, "disk_mb": 3},
+		settings(class("load-setpoint", "free", 3000, 12000, 5000), class("incentive-payout", "single_shot", 4000, 12000, 5000)),
+		p.full())
+	if err != nil {
+		return couldNot, err
+	}
+	if err := n.start(); err != nil {
+		return couldNot, err
+	}
+	// A clump of messages for destination 1.
+	var messages []*message
+	var wait sync.WaitGroup
+	for i := range 30 {
+		m := &message{id: fmt.Sprintf("c6%08x", 0x51a0+i), class: []string{"load-setpoint", "incentive-payout"}[i%2],
+			dest: 1, timeout: 12 * time.Second}
+		messages = append(messages, m)
+		wait.Add(1)
+		go func() { defer wait.Done(); s.handIn(n, m) }()
+		time.Sleep(3 * time.Millisecond)
+	}
+	wait.Wait()
+	began := time.Now()
+	at := func(after time.Duration) { time.Sleep(time.Until(began.Add(after))) }
+	if s.trouble {
+		n.signal(syscall.SIGTERM)
+	}
+	// The change is told 3 s after SIGTERM: the sender ends its sending 2.4 s after the signal, and then itself.
+	at(3 * time.Second)
+	if s.trouble && n.running() {
+		at(3300 * time.Millisecond)
+	}
+	second, err := all.open("s-1b", 1, "", 2, 350*time.Millisecond)
+	if err != nil {
+		return couldNot, err
+	}
+	p.change(first.member("gone"), second.member("ready"))
+	told := time.Now()
+	time.Sleep(time.Until(told.Add(600 * time.Millisecond))) // longer than the grace of 500 ms
+	first.close()
+	taker, err := all.open("s-2b", 2, first.address, 2, 350*time.Millisecond)
+	if err != nil {
+		return couldNot, err
+	}
+	p.change(taker.member("ready"))
+	ready := time.Time{}
+	if s.trouble {
+		at(max(3700*time.Millisecond, time.Since(began)))
+		if n.running() {
+			n.signal(syscall.SIGKILL)
+		}
+		time.Sleep(600 * time.Millisecond)
+		if err := n.start(); err != nil {
+			return couldNot, err
+		}
+		ready = time.Now()
+	}
+	at(14 * time.Second)
+
+	code, lost := held, 0
+	for _, m := range messages {
+		if !m.taken() {
+			continue
+		}
+		delivered := false
+		for _, c := range all.of(m.id) {
+			if c.cell != m.dest {
+				s.note("BROKEN: %s is for destination %d; it went to receiver %s of cell %d", m.id, m.dest, c.receiver, c.cell)
+				code = broken
+			} else if !c.answered.IsZero() && c.answered.Before(m.sent.Add(m.timeout)) {
+				delivered = true
+			}
+		}
+		f, ended := p.final(m.id)
+		if bound := m.sent.Add(m.timeout + 300*time.Millisecond); !delivered &&
+			(!ended || f.at.After(bound) && f.at.After(ready.Add(1500*time.Millisecond))) {
+			lost++
+			s.note("BROKEN: %s was taken on, and neither delivered nor ended", m.id)
+			code = broken
+		}
+	}
+	if lost > 0 {
+		fmt.Println(lost, "messages were lost")
+	}
+	return code, nil
+}
