Review case 7: the wait of a new connection is not counted in a message's time

Cause: while clients hold all connections that are allowed, new ones wait in the kernel's queue, and the time of their messages counts from when the sender accepts them.

--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -486,7 +486,7 @@
 }
 
 func main() {
-	cases := map[string]func(*stage) (int, error){"6": wrongDestination}
+	cases := map[string]func(*stage) (int, error){"6": wrongDestination, "7": waitsToBeAccepted}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE ROOT CASE-FOLDER")
 		os.Exit(couldNot)
