Review case 7: reading a new configuration stops a sender of a large fleet for seconds

Cause: SIGHUP reads the file on the loop's goroutine, in a time that grows with the square of its size: 0.29, 1.17 and 4.15 s for 800, 1,600 and 3,200 receivers (config check). Change: review/7 is now this case; the earlier case 7 (the wait of a new connection) is review/9.

--- a/review/stage-2/case7.go
+++ b/review/stage-2/accept.go
@@ -75,7 +75,7 @@
 		}
 		time.Sleep(150 * time.Millisecond)
 		for i := range destinations {
-			m := &message{id: fmt.Sprintf("c7%04x%04x", round, i), class: "incentive-payout", dest: i + 1, timeout: timeout}
+			m := &message{id: fmt.Sprintf("c9%04x%04x", round, i), class: "incentive-payout", dest: i + 1, timeout: timeout}
 			messages = append(messages, m)
 			wait.Add(1)
 			go func() { defer wait.Done(); s.handIn(n, m) }()
--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -88,6 +88,7 @@
 	configPath, stateDir string
 	cmd                  *exec.Cmd
 	exited               chan struct{}
+	onStart              func(pid int) // if set, runs beside each process of the sender
 	config               map[string]any
 	run                  string
 }
@@ -147,8 +148,11 @@
 		n.stage.note("sender %s: ended, %s", n.name, cmd.ProcessState)
 		close(exited)
 	}(n.cmd, n.exited)
+	if n.onStart != nil {
+		go n.onStart(n.cmd.Process.Pid)
+	}
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until) && n.running(); time.Sleep(5 * time.Millisecond) {
 		response, err := client.Get("http://" + n.listen + "/up")
 		if err != nil {
 			continue
@@ -230,13 +234,19 @@
 	for _, m := range members {
 		p.members[m.ID], p.changed[m.ID] = m, p.revision
 	}
+	address, err := p.listen()
+	p.address = address
+	return p, err
+}
+
+// listen opens a further address of the platform.
+func (p *platform) listen() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	p.address = l.Addr().String()
 	go (&http.Server{Handler: p}).Serve(l)
-	return p, nil
+	return l.Addr().String(), nil
 }
 
 // full returns the whole list.
@@ -486,7 +496,7 @@
 }
 
 func main() {
-	cases := map[string]func(*stage) (int, error){"6": wrongDestination, "7": waitsToBeAccepted}
+	cases := map[string]func(*stage) (int, error){"6": wrongDestination, "7": reloadStalls, "8": overMemory, "9": waitsToBeAccepted}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE ROOT CASE-FOLDER")
 		os.Exit(couldNot)
