--- a/review/stage-2/reload.go
+++ b/review/stage-2/reload.go
@@ -56,7 +56,7 @@
 			time.Sleep(3 * time.Millisecond)
 		}
 		wait.Wait()
-		time.Sleep(time.Second)
+		time.Sleep(1600 * time.Millisecond)
 		if s.trouble {
 			address, err := p.listen()
 			if err != nil {
