--- a/review/stage-2/restart.go
+++ b/review/stage-2/restart.go
@@ -52,10 +52,10 @@
 	if s.trouble {
 		n.signal(syscall.SIGTERM)
 	}
-	// The change is told 3 s after SIGTERM: the sender ends its sending 2.4 s after the signal, and then itself.
-	at(3 * time.Second)
-	if s.trouble && n.running() {
-		at(3300 * time.Millisecond)
+	// The change is told 3.3 s after the clump, or once the sender has ended: it exits within 3.2 s of SIGTERM.
+	at(3300 * time.Millisecond)
+	for s.trouble && n.running() && time.Since(began) < 3700*time.Millisecond {
+		time.Sleep(5 * time.Millisecond)
 	}
 	second, err := all.open("s-1b", 1, "", atOnce, takes)
 	if err != nil {
