Start no call by a receiver list that discovery has not confirmed

Cause: a new process took the configured list for the present one and sent what it had restored in its first turn; its first request to discovery was written at the end of that turn. A watch would not have told either whether the list is up to date: it is answered only at a change.

Change: the list is verified by a request with hold_ms=0, or for the whole list, at the start, for a new address and after a failed request for it. Until discovery has answered, the decisions start no call and recall those that are still connecting.

--- a/cmd/chuteweir/environment_test.go
+++ b/cmd/chuteweir/environment_test.go
@@ -102,7 +102,10 @@
 	acceptsReports   bool       // whether the platform accepts outcome reports; if not, it responds with 500
 	unreadableReport string     // the platform responds with 400 to reports that contain this text, unless it is empty
 	listReplacement  string     // what the platform sends in place of the receiver list, unless it is empty
-	respond          func(*standin.ReceivedCall) standin.Reply
+	// answerList, if set, may answer a request for the receiver list in place of the platform, and returns whether it did.
+	answerList func(http.ResponseWriter, *http.Request) bool
+	knownList  *directory.List // written to the sender's configuration in place of the platform's present list, if set
+	respond    func(*standin.ReceivedCall) standin.Reply
 
 	listen, stateDirectory, configPath string
 	config                             config.Config
@@ -150,8 +153,8 @@
 	env.must(err)
 	platform.Override = func(_ int, writer http.ResponseWriter, request *http.Request, body []byte) bool {
 		env.mu.Lock()
-		acceptsReports, unreadableReport, listReplacement :=
-			env.acceptsReports || name != "platform", env.unreadableReport, env.listReplacement
+		acceptsReports, unreadableReport, listReplacement, answerList :=
+			env.acceptsReports || name != "platform", env.unreadableReport, env.listReplacement, env.answerList
 		env.mu.Unlock()
 		switch {
 		case request.Method == "GET" && listReplacement != "":
@@ -159,7 +162,7 @@
 			io.WriteString(writer, listReplacement)
 			return true
 		case request.Method == "GET":
-			return false
+			return answerList != nil && answerList(writer, request)
 		case unreadableReport != "" && strings.Contains(string(body), unreadableReport):
 			writer.WriteHeader(400)
 			return true
@@ -238,6 +241,9 @@
 // writeConfig writes the sender's configuration file, with the present address and receiver list of the platform.
 func (env *environment) writeConfig() {
 	env.config.Discovery, env.config.InitialList = env.platform.Address(0), env.platform.List()
+	if env.knownList != nil {
+		env.config.InitialList = *env.knownList
+	}
 	text, err := env.config.Platform()
 	env.must(err)
 	env.must(os.WriteFile(env.configPath, text, 0o600))
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -189,9 +189,10 @@
 	watch, reports    requester
 	revision          int64
 	needsFullList     bool // the next watch asks for the complete list
+	verified          bool // see Verified
 	watching          bool
 	lists             []rules.ListUpdated // not yet returned by TakeLists
-	watchFailed       bool                // a watch has failed since the last call of TakeLists
+	watchFailed       bool                // a watch has failed repeatedly since the last call of TakeLists
 	UnusableResponses int                 // number of responses that could not be used
 	LastError         string              // the reason of the last of these, until the caller clears it
 
@@ -206,7 +207,7 @@
 func New(address string, lim limits.Limits, pool *buffers.Pool, receivers *Receivers, revision int64) *Directory {
 	d := &Directory{limits: lim, pool: pool, address: address, receivers: receivers, revision: revision}
 	d.watch = requester{directory: d, maxBody: lim.ReceiverListBytes, onResponse: d.handleList,
-		onFailure: func() { d.watchFailed = true }}
+		onFailure: d.handleWatchFailure}
 	d.reports = requester{directory: d, maxBody: lim.Body, singleUse: true, onResponse: d.handleReportResponse,
 		onFailure: func() { d.inFlight = 0 }}
 	return d
@@ -222,13 +223,17 @@
 	if address == d.address {
 		return
 	}
-	d.address, d.needsFullList, d.inFlight = address, true, 0
+	d.address, d.needsFullList, d.verified, d.inFlight = address, true, false, 0
 	for _, r := range []*requester{&d.watch, &d.reports} {
 		r.closeConn()
-		r.backoff, r.due = 0, time.Time{}
+		r.failures, r.due = 0, time.Time{}
 	}
 }
 
+// Verified reports whether the platform's present address has answered a request for changes of the list, and no request
+// has failed since: the list contains every change that the platform has told.
+func (d *Directory) Verified() bool { return d.verified }
+
 // Watch starts watching the receiver list, until Stop.
 func (d *Directory) Watch() { d.watching = true }
 
@@ -241,7 +246,8 @@
 // Pending returns the number of outcome reports that the platform has not confirmed yet.
 func (d *Directory) Pending() int { return len(d.pending) }
 
-// TakeLists returns the list updates received since the last call, and whether a watch has failed since then.
+// TakeLists returns the list updates received since the last call, and whether the watch has failed since then, at least
+// twice in a row: the first failure of a watch is followed by another attempt in any case.
 func (d *Directory) TakeLists() (lists []rules.ListUpdated, failed bool) {
 	lists, failed = d.lists, d.watchFailed
 	d.lists, d.watchFailed = nil, false
@@ -262,12 +268,9 @@
 // Step sends the requests that are due, handles timeouts, and returns when to call it again.
 func (d *Directory) Step() (next time.Time) {
 	if d.watching {
-		d.watch.step(d.limits.WatchHold+d.limits.ResponseTimeout, func(buffer []byte) []byte {
-			path := fmt.Sprintf("/discovery/hosts?from=%d&hold_ms=%d", d.revision, d.limits.WatchHold.Milliseconds())
-			if d.needsFullList {
-				path = "/discovery/hosts"
-			}
-			return http1.AppendRequest(buffer, "GET", path, d.address, nil, -1)
+		d.watch.provisional = !d.verified
+		d.watch.step(d.watchTimeout(), func(buffer []byte) []byte {
+			return http1.AppendRequest(buffer, "GET", d.watchPath(), d.address, nil, -1)
 		})
 		next = d.watch.due
 	}
@@ -292,19 +295,55 @@
 	return next
 }
 
+// watchPath returns the path of the next request for the list. An unverified list is verified by a request that the
+// platform answers at once: a watch would be answered only when the list changes.
+func (d *Directory) watchPath() string {
+	if d.needsFullList {
+		return "/discovery/hosts"
+	}
+	hold := d.limits.WatchHold
+	if !d.verified {
+		hold = 0
+	}
+	return fmt.Sprintf("/discovery/hosts?from=%d&hold_ms=%d", d.revision, hold.Milliseconds())
+}
+
+// watchTimeout returns how long the next request for the list may take. One that verifies the list is given up early
+// first, in case it was lost, and later after each further failure, in case the platform is slow.
+func (d *Directory) watchTimeout() time.Duration {
+	timeout := d.limits.WatchHold + d.limits.ResponseTimeout
+	if !d.verified {
+		timeout = min(timeout, time.Duration(1+d.watch.failures)*d.limits.ResponseTimeout)
+	}
+	return timeout
+}
+
+// handleWatchFailure notes that a request for the list has failed: the list may be out of date.
+func (d *Directory) handleWatchFailure() {
+	d.verified = false
+	d.watchFailed = d.watchFailed || d.watch.failures > 1
+}
+
 // handleList applies the list in a response and reports whether it was usable. After an unusable response, the last
 // list stays in force and the watch continues after the backoff. A list that is older than the last one, on a
 // connection that was used before, is unusable too: it may repeat an earlier response, so the complete list is
-// requested on a new connection.
+// requested on a new connection. Older changes on a new connection come from a platform that counts revisions
+// differently, so the complete list is requested, too.
 func (d *Directory) handleList(message *http1.Message) bool {
 	var list List
 	err := json.Unmarshal(message.Body.AppendTo(nil), &list)
 	if message.Status != 200 {
 		err = fmt.Errorf("expected status 200, got %d", message.Status)
 	}
-	if err == nil && !d.needsFullList && list.Revision < d.revision && d.watch.requests > 1 {
-		d.needsFullList = true
-		err = fmt.Errorf("revision %d is older than the last revision %d", list.Revision, d.revision)
+	if err == nil && !d.needsFullList && list.Revision < d.revision {
+		if d.watch.requests == 1 && !list.Complete {
+			d.needsFullList, d.verified = true, false
+			return true
+		}
+		if d.watch.requests > 1 {
+			d.needsFullList = true
+			err = fmt.Errorf("revision %d is older than the last revision %d", list.Revision, d.revision)
+		}
 	}
 	var update rules.ListUpdated
 	if err == nil {
@@ -314,11 +353,11 @@
 		d.countUnusable(fmt.Errorf("receiver list: %w", err))
 		return false
 	}
-	if !d.needsFullList && list.Revision <= d.revision && d.now.Sub(d.watch.requestedAt) < d.limits.WatchHold/2 {
+	if d.verified && list.Revision <= d.revision && d.now.Sub(d.watch.requestedAt) < d.limits.WatchHold/2 {
 		// The platform does not hold watches open: don't poll in a tight loop.
 		d.watch.due = d.now.Add(d.limits.WatchInterval)
 	}
-	d.revision, d.needsFullList = list.Revision, false
+	d.revision, d.needsFullList, d.verified = list.Revision, false, true
 	if len(update.Entries) > 0 || update.Complete {
 		d.lists = append(d.lists, update)
 	}
@@ -373,7 +412,8 @@
 	awaiting    bool      // a request is waiting for its response
 	requestedAt time.Time // when the last request was sent
 	due         time.Time // when step sends the next request, or when the current request or connecting times out
-	backoff     time.Duration
+	failures    int       // since the last usable response that was not provisional
+	provisional bool      // a usable response does not end the backoff: the next request may fail again at once
 	writeBuffer []byte
 }
 
@@ -404,8 +444,12 @@
 // fail closes the connection and schedules the next attempt with exponential backoff.
 func (r *requester) fail() {
 	r.closeConn()
-	r.backoff = min(max(2*r.backoff, r.directory.limits.BackOff), r.directory.limits.MaxBackOff)
-	r.due = r.directory.now.Add(r.backoff)
+	backoff, maxBackoff := r.directory.limits.BackOff, r.directory.limits.MaxBackOff
+	for i := 0; i < r.failures && backoff < maxBackoff; i++ {
+		backoff *= 2
+	}
+	r.failures++
+	r.due = r.directory.now.Add(min(backoff, maxBackoff))
 	r.onFailure()
 }
 
@@ -466,7 +510,9 @@
 		r.fail()
 		return
 	}
-	r.backoff = 0
+	if !r.provisional {
+		r.failures = 0
+	}
 	if closes || message.Close || r.singleUse {
 		r.closeConn()
 	}
--- a/internal/directory/requester_test.go
+++ b/internal/directory/requester_test.go
@@ -121,10 +121,6 @@
 // A repeated response with an older list, on a connection that was used before, must not list a removed receiver
 // again: the complete list is requested instead.
 func TestOlderListOnAUsedConnectionBringsNoReceiverBack(t *testing.T) {
-	respond := func(conn net.Conn, revision int, complete bool, members string) {
-		text := fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, members)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-	}
 	const gone, ready = `{"id":"a","host_port":"127.0.0.1:1","cell":1,"phase":"gone"}`,
 		`{"id":"a","host_port":"127.0.0.1:1","cell":1,"phase":"ready"}`
 	var fullListRequested atomic.Bool
@@ -132,13 +128,13 @@
 	test := startPlatform(t, func(request platformRequest) {
 		switch requests++; {
 		case requests == 1:
-			respond(request.conn, 41, true, ready)
+			sendList(request.conn, 41, true, ready)
 		case requests == 2:
-			respond(request.conn, 43, false, gone)
+			sendList(request.conn, 43, false, gone)
 		case requests == 3:
-			respond(request.conn, 41, true, ready) // repeats the first response
+			sendList(request.conn, 41, true, ready) // repeats the first response
 		case request.URL.RawQuery == "":
-			respond(request.conn, 43, true, "")
+			sendList(request.conn, 43, true, "")
 			fullListRequested.Store(true)
 		}
 	})
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -74,7 +74,9 @@
 	restored             []ledger.Notice                      // pending since an earlier process, not yet passed to the decisions
 	recordedRoutes       map[recordedRoute]ledger.RouteRecord // by an earlier process, not yet passed to the decisions
 	newEntries           []rules.Entry                        // of the receiver list, since the last turn
-	heldBytes            int                                  // memory that the bodies of notices take
+	listVerified         bool                                 // as last passed to the decisions
+	listUnverifiedSince  time.Time
+	heldBytes            int // memory that the bodies of notices take
 	acceptedIDs          recentIDs
 	endedIDs             recentIDs   // notices whose final outcome was reported, which must not happen twice
 	timers               []time.Time // requested by the decisions
@@ -122,7 +124,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("the configured receivers are invalid: %w", err)
 	}
-	l.events, l.newEntries = append(l.events, listed), listed.Entries
+	l.events, l.newEntries = append(l.events, listed, rules.ListUnverified{}), listed.Entries
+	l.listUnverifiedSince = l.started
 	var pending []ledger.Notice
 	if l.ledger, pending, err = ledger.Open(c.StateDir, c.Limits.Disk); err != nil {
 		return nil, err
@@ -328,6 +331,7 @@
 		l.events = append(l.events, list)
 		l.newEntries = append(l.newEntries, list.Entries...)
 	}
+	l.reportListVerification()
 	l.restoreRouteStates()
 	l.reportRestored()
 	for _, receiver := range l.receivers.TakeRemoved() {
@@ -362,6 +366,24 @@
 	}
 }
 
+// reportListVerification passes it to the decisions if the list has become unverified or verified since the last turn.
+func (l *Loop) reportListVerification() {
+	verified := l.directory.Verified()
+	if verified == l.listVerified {
+		return
+	}
+	l.listVerified = verified
+	if !verified {
+		l.listUnverifiedSince = l.now
+		l.log.Info(logs.ListUnverified, "held", len(l.notices))
+		l.events = append(l.events, rules.ListUnverified{})
+		return
+	}
+	l.log.Info(logs.ListVerified, "after", l.now.Sub(l.listUnverifiedSince), "receivers", len(l.receivers.Addresses),
+		"held", len(l.notices))
+	l.events = append(l.events, rules.ListVerified{})
+}
+
 // logLedgerError logs an error of the ledger.
 func (l *Loop) logLedgerError(err error) {
 	if err != nil {
--- a/rules/api.go
+++ b/rules/api.go
@@ -232,6 +232,11 @@
 		Receiver ReceiverID // any receiver of the route
 		State    RouteState
 	}
+	// ListUnverified reports that the receiver list may be out of date, and that the caller is asking discovery
+	// for changes: at the start, for a new address of discovery, and when the watch of the list has failed.
+	ListUnverified struct{}
+	// ListVerified reports that discovery has answered. It follows the ListUpdated with the changes, if any.
+	ListVerified struct{}
 	// ListFailed reports that the watch of the receiver list could not be started, or broke.
 	ListFailed struct{}
 	// TimerDue reports that a timer fired.
@@ -247,6 +252,8 @@
 func (UnsolicitedBytes) event()   {}
 func (NoticeWithdrawn) event()    {}
 func (ListUpdated) event()        {}
+func (ListUnverified) event()     {}
+func (ListVerified) event()       {}
 func (ListFailed) event()         {}
 func (RouteStateRestored) event() {}
 func (TimerDue) event()           {}
--- a/rules/notices.go
+++ b/rules/notices.go
@@ -16,6 +16,7 @@
 		g = s.grades[e.Grade]
 	}
 	n := &notice{id: e.Notice, grade: g, destination: s.destination(e.Destination),
+		acceptedAt: s.now,
 		expiresAt:  s.now + e.TimeLeft,
 		spaceShare: e.SpaceShare}
 	n.surelyInTimeUntil = n.expiresAt - max(e.Waited, s.settings.MaxPause)
@@ -130,13 +131,16 @@
 	case !n.mayHaveRun && !d.listed:
 		return s.now
 	case !n.mayHaveRun && n.key == 0:
-		return max(d.unrestrictedSendableAt, n.notBefore)
+		return max(d.unrestrictedSendableAt, s.delayedUntil(n))
 	}
 	for _, r := range n.destination.routes {
 		for _, rc := range r.receivers {
 			at = min(at, s.allowedAt(n, rc))
 		}
 	}
+	if at == never && s.mayBeRepeated(n) && s.listWaitEnd(n) > s.now {
+		return s.listWaitEnd(n) // discovery may list a receiver that may get it
+	}
 	return at
 }
 
--- a/rules/random_events_test.go
+++ b/rules/random_events_test.go
@@ -9,7 +9,14 @@
 // delivery rules.
 func TestOddEvents(t *testing.T) {
 	for seed := range uint64(12) {
-		checkRandomEvents(t, rand.New(rand.NewPCG(seed, 1)))
+		checkRandomEvents(t, rand.New(rand.NewPCG(seed, 1)), nil)
+	}
+}
+
+// Guards against rules that are broken only while the receiver list is unverified.
+func TestOddEventsWithUnverifiedList(t *testing.T) {
+	for seed := range uint64(12) {
+		checkRandomEvents(t, rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)))
 	}
 }
 
@@ -22,8 +29,9 @@
 	runZone                 ZoneID // zone of the first trip that may have run
 }
 
-// checkRandomEvents drives one sender for 4000 turns and reports each violation of the rules.
-func checkRandomEvents(t *testing.T, random *rand.Rand) {
+// checkRandomEvents drives one sender for 4000 turns and reports each violation of the rules. The receiver list becomes
+// unverified and verified at the times that listRandom draws; nil: it stays verified.
+func checkRandomEvents(t *testing.T, random, listRandom *rand.Rand) {
 	settings := testSettings()
 	settings.CancelTrips, settings.HoldLimit = true, 40
 	var list []Entry
@@ -76,6 +84,9 @@
 			entry.Status = ReceiverStatus(random.IntN(3))
 			events = append(events, ListUpdated{Entries: []Entry{*entry}}, NoticeWithdrawn{Notice: 1 << 30})
 		}
+		if listRandom != nil && listRandom.IntN(5) == 0 {
+			events = append(events, []Event{ListUnverified{}, ListVerified{}}[listRandom.IntN(2)])
+		}
 		for _, a := range trace.sender.Decide(trace.now, events) {
 			switch a := a.(type) {
 			case Send:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,6 +127,10 @@
 			s.updateList(e)
 		case RouteStateRestored:
 			s.restoreRouteState(e)
+		case ListUnverified:
+			s.awaitListVerification()
+		case ListVerified:
+			s.endListVerification()
 		case ListFailed:
 			s.watchListAt = s.now + s.settings.RewatchWithin/16*Millis(1+s.random())
 		}
--- a/rules/send_checks.go
+++ b/rules/send_checks.go
@@ -20,7 +20,7 @@
 	if rc.status != Ready || !s.repeatSafe(n, rc) {
 		return never
 	}
-	at := max(s.routeAvailableAt(r), n.notBefore)
+	at := max(s.routeAvailableAt(r), s.delayedUntil(n))
 	if queue := s.keys[n.key]; queue != nil {
 		at = max(at, queue.cooldownUntil)
 	}
@@ -36,6 +36,18 @@
 	return n.firstRunAt + n.grade.RemembersFor - s.settings.MaxPause
 }
 
+// mayBeRepeated reports whether a notice may be sent again to some receiver, as far as the receiver list does not
+// matter for that.
+func (s *Sender) mayBeRepeated(n *notice) bool {
+	switch {
+	case !n.mayHaveRun || n.grade.Repeat == Reissuable:
+		return true
+	case n.grade.Repeat == Numbered:
+		return s.now < s.markUnsafeFrom(n)
+	}
+	return false
+}
+
 // maySend reports whether a notice may be sent to a receiver now. Each send passes this check, whatever the
 // state of the breaker.
 func (s *Sender) maySend(n *notice, rc *receiver) bool {
--- a/rules/state.go
+++ b/rules/state.go
@@ -156,6 +156,13 @@
 	routes                 []*route
 }
 
+// listVerification is what is known of whether the receiver list is up to date.
+type listVerification struct {
+	pending         bool   // the list may be out of date, and discovery was asked for changes
+	succeededBefore bool   // the list was verified before, by this process
+	since           Millis // with pending: since when
+}
+
 // keyQueue holds the notices of one key in the order in which they were accepted.
 type keyQueue struct {
 	notices       []*notice
@@ -178,7 +185,8 @@
 	key                         KeyID
 	credit, urgency, spaceShare float64
 	submittedAt, quotedUntil    Millis
-	expiresAt, notBefore        Millis // expiresAt is the client timeout
+	acceptedAt                  Millis // when this process got it, from its client or from the ledger
+	expiresAt, notBefore        Millis // expiresAt is the client timeout; notBefore the end of a delay after a trip
 	// surelyInTimeUntil is the latest time at which a response that is read certainly came before expiresAt,
 	// however long the notice or the response itself waited to be read.
 	surelyInTimeUntil       Millis
@@ -263,6 +271,7 @@
 	timerAt                             Millis
 	watchListAt                         Millis
 	cleanUpAt                           Millis
+	listVerification                    listVerification
 }
 
 // newSender returns a sender with empty state.
@@ -362,8 +371,7 @@
 // addToList adds a waiting notice to the unrestricted or the restricted notices of its destination.
 func (s *Sender) addToList(n *notice) {
 	d := n.destination
-	if n.unrestricted = n.key == 0 && !n.mayHaveRun &&
-		n.notBefore <= s.now && n.trips < s.settings.TripLimit; n.unrestricted {
+	if n.unrestricted = s.isUnrestricted(n); n.unrestricted {
 		heap.Push(&d.unrestricted, n)
 		return
 	}
@@ -423,8 +431,7 @@
 // moveToUnrestricted moves the restricted notices that may now be sent at any time to the unrestricted ones.
 func (s *Sender) moveToUnrestricted(d *destination) {
 	for i := 0; i < len(d.restricted); i++ {
-		if n := d.restricted[i]; n.key == 0 && !n.mayHaveRun &&
-			n.notBefore <= s.now && n.trips < s.settings.TripLimit {
+		if n := d.restricted[i]; s.isUnrestricted(n) {
 			s.removeFromList(n)
 			s.addToList(n)
 			i--
@@ -432,6 +439,11 @@
 	}
 }
 
+// isUnrestricted reports whether a waiting notice belongs into destination.unrestricted.
+func (s *Sender) isUnrestricted(n *notice) bool {
+	return n.key == 0 && !n.mayHaveRun && s.delayedUntil(n) <= s.now && n.trips < s.settings.TripLimit
+}
+
 // activate adds a route to those that are visited in each turn.
 func (s *Sender) activate(r *route) {
 	if r.active {
