Read configurations in a time that grows linearly with the receivers

Cause: for the line of each key of the JSON, of the receivers too, all of the text before it was copied and its lines were counted; the TOML reader let the parser count from the beginning of the text for each key.

Change: lines are counted once, in the order of the keys, and of the JSON only in the settings and only if something there is warned of.

--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -80,11 +80,12 @@
 	current, sectionPath, skipping := top, "", false
 	parser := unstable.Parser{}
 	parser.Reset(text)
+	lines := NewLineCounter(text) // the parser's own Shape counts from the beginning of the text each time
 	lineOf := func(n *unstable.Node) int {
 		if n == nil || n.Raw.Length == 0 {
 			return 0
 		}
-		return parser.Shape(n.Raw).Start.Line
+		return lines.Line(int(n.Raw.Offset))
 	}
 	for parser.NextExpression() {
 		expression := parser.Expression()
@@ -113,7 +114,7 @@
 	if err := parser.Error(); errors.As(err, &parseErr) {
 		line := 0
 		if len(parseErr.Highlight) > 0 {
-			line = parser.Shape(parser.Range(parseErr.Highlight)).Start.Line
+			line = lines.Line(int(parser.Range(parseErr.Highlight).Offset))
 		}
 		file.faults = append(file.faults,
 			Fault{name, line, "", parseErr.Message, "a line of TOML; nothing after it was read"})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -248,9 +248,13 @@
 // settingsWarnings lists the values in the platform's settings that make no sense but do not keep a sender from
 // starting.
 func settingsWarnings(path string, text []byte, rawSettings json.RawMessage) conf.Faults {
+	warnings := settings.Warnings(rawSettings)
+	if len(warnings) == 0 {
+		return nil
+	}
 	var faults conf.Faults
-	keyLines := linesOfKeys(text)
-	for _, warning := range settings.Warnings(rawSettings) {
+	keyLines := linesOfKeys(text, "settings")
+	for _, warning := range warnings {
 		key := "settings." + warning.Key
 		faults = append(faults, conf.Fault{File: path, Line: keyLines[key], Key: key,
 			Problem: warning.Problem, Expected: warning.Expected})
@@ -259,42 +263,6 @@
 	return faults
 }
 
-// linesOfKeys returns the line of each key of a JSON text, by its path such as settings.classes.0.repeat.
-func linesOfKeys(text []byte) map[string]int {
-	lines, decoder := map[string]int{}, json.NewDecoder(strings.NewReader(string(text)))
-	var walk func(path string) error
-	walk = func(path string) error {
-		token, err := decoder.Token()
-		if err != nil {
-			return err
-		}
-		delim, nested := token.(json.Delim)
-		for i := 0; nested && decoder.More(); i++ {
-			child := strconv.Itoa(i)
-			if delim == '{' {
-				key, err := decoder.Token()
-				if err != nil {
-					return err
-				}
-				child = fmt.Sprint(key)
-			}
-			if path != "" {
-				child = path + "." + child
-			}
-			lines[child] = 1 + strings.Count(string(text[:decoder.InputOffset()]), "\n")
-			if err := walk(child); err != nil {
-				return err
-			}
-		}
-		if nested {
-			_, err = decoder.Token()
-		}
-		return err
-	}
-	walk("")
-	return lines
-}
-
 // Platform returns the configuration as the platform's JSON. The log settings and the state directory, which that form
 // does not have, are left out.
 func (c Config) Platform() ([]byte, error) {
