Read a new configuration on a goroutine of its own

Cause: the loop called ReadConfig on its own goroutine. Nothing else runs on it meanwhile.

Change: a reloader reads on another goroutine and posts the result to the loop (sockets.Net.Post). One reading is under way at a time, so that no result overtakes a newer one; a SIGHUP during it leads to one more. Of an unusable file 100 faults are logged, since a large one may have thousands. A test of the broken watch broke it again at random; it does so once now, and still fails on the code before the list was verified.

--- a/cmd/chuteweir/list_check_test.go
+++ b/cmd/chuteweir/list_check_test.go
@@ -188,15 +188,18 @@
 			env.locked(func() {
 				env.answerList = func(_ http.ResponseWriter, request *http.Request) bool {
 					select {
-					case <-broken:
-						time.Sleep(200 * time.Millisecond)
-						return false
 					case <-breakWatch:
-						breakOnce.Do(func() { close(broken) })
-						panic(http.ErrAbortHandler)
 					case <-request.Context().Done():
 						return false
 					}
+					isFirst := false
+					breakOnce.Do(func() { isFirst = true })
+					if isFirst {
+						close(broken)
+						panic(http.ErrAbortHandler)
+					}
+					time.Sleep(200 * time.Millisecond)
+					return false
 				}
 			})
 			time.Sleep(watchTime + watchTime/4) // the watch that was open when answerList was set ends
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -78,7 +78,7 @@
 	{Reloaded, "info", []string{"discovery", "owed"}, false,
 		"SIGHUP: the configuration was reloaded; `owed` outcome reports are pending and go to the new address"},
 	{ReloadRefused, "error", []string{"why"}, false,
-		"SIGHUP: the configuration file is unusable, one line for each fault; the old configuration stays in force"},
+		"SIGHUP: the configuration file is unusable, one line for each fault, for 100 at most; the old configuration stays in force"},
 	{ConfigWarning, "warn", []string{"why"}, false,
 		"a value in the platform's file makes no sense; the sender continues"},
 	{SlotsCapped, "warn", []string{"slots", "connections", "capped"}, false,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"chuteweir.example/chuteweir/internal/buffers"
@@ -164,13 +163,15 @@
 // to reload its configuration.
 type Signals struct {
 	Shutdown, LogCounters, Reload <-chan os.Signal
-	ReadConfig                    func() (Config, error) // reads the current configuration
+	// ReadConfig reads the current configuration. It is called on another goroutine.
+	ReadConfig func() (Config, error)
 }
 
 // Run serves until a shutdown signal, and then until the calls in flight have their outcomes or the time for that
 // is over.
 func (l *Loop) Run(signals Signals) {
 	timer := time.NewTimer(0)
+	reloads := reloader{read: signals.ReadConfig, post: l.net.Post, apply: l.applyReload}
 	for {
 		select {
 		case <-l.net.Ready():
@@ -179,7 +180,7 @@
 			l.log.Info(logs.CountersLine, "sender", l.currentCounters(), "held", len(l.notices), "owed",
 				l.directory.Pending())
 		case <-signals.Reload:
-			l.reload(signals.ReadConfig())
+			reloads.request()
 		case <-signals.Shutdown:
 			if l.shutdownAt.IsZero() {
 				l.shutdownAt = time.Now()
@@ -209,20 +210,6 @@
 	l.ledger.Close()
 }
 
-// reload applies a new configuration, of which only the address of the directory is used. An unreadable
-// configuration changes nothing.
-func (l *Loop) reload(c Config, err error) {
-	if err != nil {
-		for line := range strings.Lines(err.Error()) {
-			l.log.Error(logs.ReloadRefused, "why", strings.TrimSpace(line))
-		}
-		return
-	}
-	l.counters.Reloads++
-	l.log.Info(logs.Reloaded, "discovery", c.Discovery, "owed", l.directory.Pending())
-	l.directory.SetAddress(c.Discovery)
-}
-
 // turn runs one iteration of the loop. It returns when the next one is due if no event comes earlier, and whether
 // the loop is done.
 func (l *Loop) turn() (next time.Time, done bool) {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -34,6 +34,7 @@
 	data     *[]byte // bytes that were read; nil for all other kinds of event
 	readEnds bool    // the poller reads no more from this connection for now
 	err      error
+	run      func() // to be called; the event belongs to no connection then
 }
 
 // Net holds all connections of the process and the queue of their events.
@@ -190,10 +191,14 @@
 	}
 }
 
+// Post makes the next Dispatch call a function. Any goroutine may call Post.
+func (n *Net) Post(run func()) { n.enqueue(event{run: run}) }
+
 // Ready returns a channel that receives a value when there are events for Dispatch.
 func (n *Net) Ready() <-chan struct{} { return n.ready }
 
-// Dispatch passes all queued events to the connections' owners and continues writes that were incomplete.
+// Dispatch passes all queued events to the connections' owners, calls the functions that were posted, and continues writes
+// that were incomplete.
 func (n *Net) Dispatch() {
 	n.mu.Lock()
 	events := n.queue
@@ -201,6 +206,10 @@
 	n.spaceFreed.Broadcast()
 	n.mu.Unlock()
 	for _, e := range events {
+		if e.run != nil {
+			e.run()
+			continue
+		}
 		c := e.conn
 		if e.data != nil {
 			c.queuedBuffers.Add(-1)
