Decode large receiver lists on another goroutine

The loop decoded a whole list of 3,200 receivers, indented, in 13 ms on a core of its own (800: 3.3 ms, 200: 0.8 ms), at each SIGHUP and whenever discovery sends the whole list; with a fifth of a core that is 70 ms.

Change: a list of over 16 KiB is decoded on another goroutine, which posts the result to the loop. The next request waits for it; a result that comes after a new address or after a failure of the watch is discarded.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,6 +38,9 @@
 var statusByPhase = map[string]rules.ReceiverStatus{"ready": rules.Ready, "draining": rules.Draining,
 	"gone": rules.Gone}
 
+// maxDecodedAtOnce is the size of a list, in bytes, up to which it is decoded on the goroutine of the loop.
+const maxDecodedAtOnce = 16 << 10
+
 // maxRetired is the number of removed receivers whose identities are remembered.
 const maxRetired = 1024
 
@@ -191,6 +194,7 @@
 	needsFullList     bool // the next watch asks for the complete list
 	verified          bool // see Verified
 	watching          bool
+	decoding          *listDecoding       // the list that is being decoded, or nil
 	lists             []rules.ListUpdated // not yet returned by TakeLists
 	watchFailed       bool                // a watch has failed repeatedly since the last call of TakeLists
 	UnusableResponses int                 // number of responses that could not be used
@@ -206,8 +210,7 @@
 // New returns a Directory that starts from a list of the given revision, which the receivers already contain.
 func New(address string, lim limits.Limits, pool *buffers.Pool, receivers *Receivers, revision int64) *Directory {
 	d := &Directory{limits: lim, pool: pool, address: address, receivers: receivers, revision: revision}
-	d.watch = requester{directory: d, maxBody: lim.ReceiverListBytes, onResponse: d.handleList,
-		onFailure: d.handleWatchFailure}
+	d.watch = requester{directory: d, maxBody: lim.ReceiverListBytes, onResponse: d.handleList, onFailure: d.handleWatchFailure}
 	d.reports = requester{directory: d, maxBody: lim.Body, singleUse: true, onResponse: d.handleReportResponse,
 		onFailure: func() { d.inFlight = 0 }}
 	return d
@@ -223,9 +226,10 @@
 	if address == d.address {
 		return
 	}
-	d.address, d.needsFullList, d.verified, d.inFlight = address, true, false, 0
+	d.address, d.needsFullList, d.verified, d.inFlight, d.decoding = address, true, false, 0, nil
 	for _, r := range []*requester{&d.watch, &d.reports} {
 		r.closeConn()
+		r.processing = false
 		r.failures, r.due = 0, time.Time{}
 	}
 }
@@ -320,25 +324,54 @@
 
 // handleWatchFailure notes that a request for the list has failed: the list may be out of date.
 func (d *Directory) handleWatchFailure() {
-	d.verified = false
+	d.verified, d.decoding = false, nil
 	d.watchFailed = d.watchFailed || d.watch.failures > 1
 }
 
-// handleList applies the list in a response and reports whether it was usable. After an unusable response, the last
+// handleList decodes the list in a response and applies it. A large list is decoded on another goroutine: that takes a time
+// that grows with the fleet.
+func (d *Directory) handleList(message *http1.Message) verdict {
+	if message.Status != 200 {
+		d.countUnusable(fmt.Errorf("receiver list: expected status 200, got %d", message.Status))
+		return unusable
+	}
+	text := message.Body.AppendTo(make([]byte, 0, message.Body.Len()))
+	if len(text) <= maxDecodedAtOnce {
+		return d.applyList(decodeList(text))
+	}
+	decoding := &listDecoding{text}
+	d.decoding = decoding
+	go func() {
+		list, err := decodeList(decoding.text)
+		d.net.Post(func() {
+			if d.decoding == decoding {
+				d.decoding = nil
+				d.watch.conclude(d.applyList(list, err))
+			}
+		})
+	}()
+	return undecided
+}
+
+// listDecoding is the decoding of a list on another goroutine.
+type listDecoding struct{ text []byte }
+
+// decodeList decodes a list from JSON.
+func decodeList(text []byte) (list List, err error) {
+	err = json.Unmarshal(text, &list)
+	return list, err
+}
+
+// applyList applies a list that was decoded, and returns whether it was usable. After an unusable response, the last
 // list stays in force and the watch continues after the backoff. A list that is older than the last one, on a
 // connection that was used before, is unusable too: it may repeat an earlier response, so the complete list is
 // requested on a new connection. Older changes on a new connection come from a platform that counts revisions
 // differently, so the complete list is requested, too.
-func (d *Directory) handleList(message *http1.Message) bool {
-	var list List
-	err := json.Unmarshal(message.Body.AppendTo(nil), &list)
-	if message.Status != 200 {
-		err = fmt.Errorf("expected status 200, got %d", message.Status)
-	}
+func (d *Directory) applyList(list List, err error) verdict {
 	if err == nil && !d.needsFullList && list.Revision < d.revision {
 		if d.watch.requests == 1 && !list.Complete {
 			d.needsFullList, d.verified = true, false
-			return true
+			return usable
 		}
 		if d.watch.requests > 1 {
 			d.needsFullList = true
@@ -351,7 +384,7 @@
 	}
 	if err != nil {
 		d.countUnusable(fmt.Errorf("receiver list: %w", err))
-		return false
+		return unusable
 	}
 	if d.verified && list.Revision <= d.revision && d.now.Sub(d.watch.requestedAt) < d.limits.WatchHold/2 {
 		// The platform does not hold watches open: don't poll in a tight loop.
@@ -361,7 +394,7 @@
 	if len(update.Entries) > 0 || update.Complete {
 		d.lists = append(d.lists, update)
 	}
-	return true
+	return usable
 }
 
 // countUnusable counts a response that could not be used, and keeps the reason for the log.
@@ -370,19 +403,19 @@
 	d.LastError = err.Error()
 }
 
-// handleReportResponse processes the response to a batch of outcome reports, and reports whether the next batch can
-// be sent without a backoff.
-func (d *Directory) handleReportResponse(message *http1.Message) bool {
+// handleReportResponse processes the response to a batch of outcome reports, and returns unusable if the next batch is
+// to be sent after a backoff.
+func (d *Directory) handleReportResponse(message *http1.Message) verdict {
 	if message.Status != 204 {
 		d.countUnusable(fmt.Errorf("outcome reports: expected status 204, got %d", message.Status))
 		if message.Status != 400 || d.inFlight == 0 {
-			return false
+			return unusable
 		}
 		// One report that the platform can't read must not block all others: halving the batch finds it, and it is
 		// dropped.
 		if d.inFlight > 1 {
 			d.maxBatch = d.inFlight / 2
-			return true
+			return usable
 		}
 		d.LastError = fmt.Sprintf("the platform can't read the outcome report of notice %q: dropped",
 			d.pending[0].Message)
@@ -393,16 +426,24 @@
 	}
 	d.pending = slices.Delete(d.pending, 0, d.inFlight)
 	d.inFlight = 0
-	return true
+	return usable
 }
 
+// verdict says whether a response can be used.
+type verdict uint8
+
+const (
+	usable    verdict = iota // the next request may follow without a backoff
+	unusable                 // the next request follows after a backoff, on a new connection
+	undecided                // conclude follows; no request is sent before that
+)
+
 // requester sends requests to the platform one after another, over a connection that it opens when needed.
 type requester struct {
-	directory *Directory
-	maxBody   int  // bytes of a response body
-	singleUse bool // each request has its own connection, so that no response can belong to another request
-	// onResponse handles a complete response, and reports whether the next request may follow without a backoff.
-	onResponse func(*http1.Message) bool
+	directory  *Directory
+	maxBody    int                          // bytes of a response body
+	singleUse  bool                         // each request has its own connection, so that no response can belong to another request
+	onResponse func(*http1.Message) verdict // handles a complete response
 	onFailure  func()
 
 	conn        *sockets.Conn
@@ -410,6 +451,7 @@
 	connected   bool
 	requests    int       // sent on this connection
 	awaiting    bool      // a request is waiting for its response
+	processing  bool      // onResponse has returned undecided
 	requestedAt time.Time // when the last request was sent
 	due         time.Time // when step sends the next request, or when the current request or connecting times out
 	failures    int       // since the last usable response that was not provisional
@@ -421,7 +463,7 @@
 // that is still unfinished when it is due has timed out, and fails.
 func (r *requester) step(timeout time.Duration, appendRequest func([]byte) []byte) {
 	lim := r.directory.limits
-	if r.directory.now.Before(r.due) {
+	if r.processing || r.directory.now.Before(r.due) {
 		return
 	}
 	if r.awaiting || r.conn != nil && !r.connected {
@@ -449,6 +491,7 @@
 		backoff *= 2
 	}
 	r.failures++
+	r.processing = false
 	r.due = r.directory.now.Add(min(backoff, maxBackoff))
 	r.onFailure()
 }
@@ -504,16 +547,21 @@
 // handleResponse passes a complete response on, and closes the connection unless it can be used again.
 func (r *requester) handleResponse(message *http1.Message, closes bool) {
 	r.awaiting, r.due = false, time.Time{}
-	usable := r.onResponse(message)
+	result := r.onResponse(message)
 	message.Body.Free()
-	if !usable {
-		r.fail()
-		return
+	if result != unusable && (closes || message.Close || r.singleUse) {
+		r.closeConn()
 	}
-	if !r.provisional {
+	r.conclude(result)
+}
+
+// conclude acts on the verdict on a response.
+func (r *requester) conclude(result verdict) {
+	r.processing = result == undecided
+	switch {
+	case result == unusable:
+		r.fail()
+	case result == usable && !r.provisional:
 		r.failures = 0
 	}
-	if closes || message.Close || r.singleUse {
-		r.closeConn()
-	}
 }
