Verify the receiver list again after the process was stopped

Cause: the first turn after the stop may be started by a timer, before the change that waits on the watch's connection is read; a watch whose time is over is even given up unread.

Change: after 0.5 s without a turn the list counts as unverified, and its changes are asked for on a new connection. An idle loop has a turn each 100 ms.

--- a/cmd/chuteweir/list_check_test.go
+++ b/cmd/chuteweir/list_check_test.go
@@ -214,3 +214,30 @@
 		})
 	}
 }
+
+// Guards against calls by a list that changed while the process was stopped, before it has read the change.
+func TestStoppedSenderCallsNoAddressThatAnotherDestinationTook(t *testing.T) {
+	const wait = time.Second
+	for name, stop := range map[string]time.Duration{"within a watch": wait + wait/2,
+		"longer than a watch": 2 * watchTime} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := startEnvironment(t)
+			env.respondWith(func(*standin.ReceivedCall) standin.Reply {
+				return standin.Reply{Status: 429, HeaderLines: []string{fmt.Sprintf("Retry-After: %v", wait.Seconds())}}
+			})
+			for i := range 3 {
+				env.submit("note", fmt.Sprint("n-", i), 12000, 1)
+			}
+			env.awaitLines(1, "receiver")
+			time.Sleep(100 * time.Millisecond)
+			env.must(env.sender.Process.Signal(syscall.SIGSTOP))
+			env.setTrace(nil)
+			env.respondWith(respondOK)
+			env.replaceReceiver(env.platform)
+			time.Sleep(stop)
+			env.must(env.sender.Process.Signal(syscall.SIGCONT))
+			env.expectNoCallByTheOldList(3)
+		})
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -226,12 +226,16 @@
 	if address == d.address {
 		return
 	}
-	d.address, d.needsFullList, d.verified, d.inFlight, d.decoding = address, true, false, 0, nil
-	for _, r := range []*requester{&d.watch, &d.reports} {
-		r.closeConn()
-		r.processing = false
-		r.failures, r.due = 0, time.Time{}
-	}
+	d.address, d.needsFullList, d.inFlight = address, true, 0
+	d.watch.failures, d.reports.failures = 0, 0
+	d.reports.restart()
+	d.VerifyAgain()
+}
+
+// VerifyAgain asks for the changes of the list on a new connection: what is known of it may be out of date.
+func (d *Directory) VerifyAgain() {
+	d.verified, d.decoding = false, nil
+	d.watch.restart()
 }
 
 // Verified reports whether the platform's present address has answered a request for changes of the list, and no request
@@ -505,6 +509,12 @@
 	r.conn, r.awaiting, r.connected = nil, false, false
 }
 
+// restart abandons the present request. The next one is due at once, on a new connection.
+func (r *requester) restart() {
+	r.closeConn()
+	r.processing, r.due = false, time.Time{}
+}
+
 // Opened implements sockets.Owner.
 func (r *requester) Opened(conn *sockets.Conn) {
 	if conn == r.conn {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -52,6 +52,9 @@
 	SettleTime         time.Duration // how long a connection to a receiver stays unused after a response
 	UnreadRecheckDelay time.Duration // until a connection with data not yet processed is checked again
 	MaxPause           time.Duration // see rules.Settings.MaxPause
+	// MaxListAge is the longest time between two turns of the loop after which the receiver list still counts as
+	// verified. It is the shortest time that draining receivers are given to end.
+	MaxListAge time.Duration
 
 	WatchHold       time.Duration // how long discovery is asked to hold a watch request
 	WatchInterval   time.Duration // between watch requests that discovery does not hold
@@ -111,6 +114,7 @@
 		SettleTime:         toDuration(rules.SettleTime),
 		UnreadRecheckDelay: time.Millisecond,
 		MaxPause:           150 * time.Millisecond,
+		MaxListAge:         500 * time.Millisecond,
 
 		WatchHold:       2 * time.Second,
 		WatchInterval:   100 * time.Millisecond,
--- a/internal/logs/events.go
+++ b/internal/logs/events.go
@@ -72,7 +72,7 @@
 	{RouteRestored, "info", []string{"destination", "receiver", "in_outage", "down", "since", "warming_up", "recovered", "rate_before", "limit"}, true,
 		"what an earlier process recorded of a route was restored: whether it is in an outage, and the time `since` its first sign; whether it warms up after one, and how long ago it `recovered`; `rate_before` and `limit` as in `outage`"},
 	{ListUnverified, "info", []string{"held"}, true,
-		"the receiver list may be out of date, since the watch failed or `discovery` was replaced; discovery is asked for changes, and meanwhile no call is started, for 0.5 s at most and half of each notice's time; `held` is the number of notices held"},
+		"the receiver list may be out of date, since the watch failed, `discovery` was replaced or the process was stopped; discovery is asked for changes, and meanwhile no call is started, for 0.5 s at most and half of each notice's time; `held` is the number of notices held"},
 	{ListVerified, "info", []string{"after", "receivers", "held"}, true,
 		"discovery has confirmed the receiver list, `after` the start or after `list_unverified`; `receivers` are listed now, and `held` notices are held"},
 	{Reloaded, "info", []string{"discovery", "owed"}, false,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -214,10 +214,14 @@
 // the loop is done.
 func (l *Loop) turn() (next time.Time, done bool) {
 	l.counters.Turns++
+	sinceLastTurn := time.Since(l.now)
 	l.now = time.Now()
 	l.arrivals.startTurn(l.now)
 	l.calls.BeginTurn(l.now)
 	l.setTime(l.now)
+	if sinceLastTurn > l.config.Limits.MaxListAge { // the process was stopped: a change of the list may be unread
+		l.directory.VerifyAgain()
+	}
 	l.net.Dispatch()
 	// Requested waits begin at this time: the responses just read may have arrived after the turn began.
 	l.setTime(time.Now())
--- a/rules/api.go
+++ b/rules/api.go
@@ -233,7 +233,8 @@
 		State    RouteState
 	}
 	// ListUnverified reports that the receiver list may be out of date, and that the caller is asking discovery
-	// for changes: at the start, for a new address of discovery, and when the watch of the list has failed.
+	// for changes: at the start, for a new address of discovery, when the watch of the list has failed, and when
+	// the process was stopped.
 	ListUnverified struct{}
 	// ListVerified reports that discovery has answered. It follows the ListUpdated with the changes, if any.
 	ListVerified struct{}
