--- a/rules/list_check.go
+++ b/rules/list_check.go
@@ -1,14 +1,15 @@
 package rules
 
-// This file delays sending while the receiver list may be out of date. A receiver that the list names may have
-// gone, and a receiver of another destination may have taken its address.
+// This file delays sending while the receiver list may be out of date. A receiver that the list names may
+// have gone, and a receiver of another destination may have taken its address.
 
 const (
-	// maxFirstListWait is the longest wait for the first verification of the list by a process. By then discovery
-	// has told of every change that it knew at the start, unless it is down.
+	// maxFirstListWait is the longest wait for the first verification of the list by a process. By then
+	// discovery has told of every change that it knew at the start, unless it is down.
 	maxFirstListWait Millis = 6_000
-	// maxListWait is the longest wait for a later verification, since the list was up to date a short time before, and
-	// for the first one while the hold is nearly full, since notices would be dismissed to free space.
+	// maxListWait is the longest wait for a later verification, since the list was up to date a short time
+	// before, and for the first one while the hold is nearly full, since notices would be dismissed to free
+	// space.
 	maxListWait Millis = 500
 	// listWaitShare is the share of the time left for sending a notice that it may wait for the verification.
 	listWaitShare = 0.5
@@ -34,9 +35,9 @@
 	s.listVerification = listVerification{succeededBefore: true}
 }
 
-// listWaitEnd returns until when a notice waits at the latest for the verification of the list: long enough for
-// discovery to answer even if it is slow, but with time left to deliver the notice by the list as it is, since
-// discovery may be down.
+// listWaitEnd returns until when a notice waits at the latest for the verification of the list: long enough
+// for discovery to answer even if it is slow, but with time left to deliver the notice by the list as it is,
+// since discovery may be down.
 func (s *Sender) listWaitEnd(n *notice) Millis {
 	if !s.listVerification.pending {
 		return 0
@@ -52,6 +53,6 @@
 	return min(s.listVerification.since+longest, from+listWaitShare*max(latestSend-from, 0))
 }
 
-// delayedUntil returns the end of the delays of a notice that do not depend on its receiver: the delay after a
-// failed trip, and the wait for the verification of the list.
+// delayedUntil returns the end of the delays of a notice that do not depend on its receiver: the delay after
+// a failed trip, and the wait for the verification of the list.
 func (s *Sender) delayedUntil(n *notice) Millis { return max(n.notBefore, s.listWaitEnd(n)) }
