--- a/rules/send_checks.go
+++ b/rules/send_checks.go
@@ -36,8 +36,8 @@
 	return n.firstRunAt + n.grade.RemembersFor - s.settings.MaxPause
 }
 
-// mayBeRepeated reports whether a notice may be sent again to some receiver, as far as the receiver list does not
-// matter for that.
+// mayBeRepeated reports whether a notice may be sent again to some receiver, as far as the receiver list does
+// not matter for that.
 func (s *Sender) mayBeRepeated(n *notice) bool {
 	switch {
 	case !n.mayHaveRun || n.grade.Repeat == Reissuable:
