Spread the notices that leave while discovery does not answer

Change: the wait of a new notice gets shorter the longer the answer of discovery is outstanding, and is 0 after twice the longest wait, so that notices leave at about twice the rate of their acceptance. What was held at the start waits as before.

--- a/rules/list_check.go
+++ b/rules/list_check.go
@@ -37,7 +37,8 @@
 
 // listWaitEnd returns until when a notice waits at the latest for the verification of the list: long enough
 // for discovery to answer even if it is slow, but with time left to deliver the notice by the list as it is,
-// since discovery may be down.
+// since discovery may be down. The longer the verification has been pending, the shorter is the wait of a new
+// notice, so that the notices do not leave all at once when the longest wait is over.
 func (s *Sender) listWaitEnd(n *notice) Millis {
 	if !s.listVerification.pending {
 		return 0
@@ -50,7 +51,8 @@
 	if n.mayHaveRun && n.grade.Repeat == Numbered {
 		latestSend = min(latestSend, s.markUnsafeFrom(n))
 	}
-	return min(s.listVerification.since+longest, from+listWaitShare*max(latestSend-from, 0))
+	remainingShare := 1 - (from-s.listVerification.since)/(2*longest)
+	return from + min(longest, listWaitShare*max(latestSend-from, 0))*max(remainingShare, 0)
 }
 
 // delayedUntil returns the end of the delays of a notice that do not depend on its receiver: the delay after
