Ask for the list again within 2 s of a failed watch where lists are asked for

With ask_within over 32 s a sender paused for up to an eighth of it after a failed watch: 75 s with the longest that the settings allow. Until the next request its list was out of date, at a start as well, although the platform counts a change as told after 6 s whatever is allowed after a failed call. Found by reading; the deployments that we know have 10 s.

Change: the pause is 2 s at most. The new test fails before (no request within 2.5 s) and passes now.

--- a/rules/list_check.go
+++ b/rules/list_check.go
@@ -13,6 +13,9 @@
 	maxListWait Millis = 500
 	// listWaitShare is the share of the time left for sending a notice that it may wait for the verification.
 	listWaitShare = 0.5
+	// maxRewatchPause is half of the longest pause after a failed watch before the next one, where the platform
+	// tells changes only to senders that ask: it counts them as told after maxFirstListWait.
+	maxRewatchPause Millis = 1_000
 )
 
 // awaitListVerification delays sending until the list is verified. Notices that are sendable at once become
--- a/rules/list_check_test.go
+++ b/rules/list_check_test.go
@@ -122,3 +122,12 @@
 		t.Errorf("%d calls for %d notices", len(sentAt), rounds)
 	}
 }
+
+// Guards against a list that stays unverified for long after one failure where lists are asked for.
+func TestListIsAskedForAgainSoonWhateverTheSettingsAllow(t *testing.T) {
+	settings := testSettings()
+	settings.WatchOnRequest, settings.RewatchWithin = true, 600_000
+	trace := startUnverifiedTrace(t, settings, entry(1, 1))
+	trace.runTurn(ListFailed{})
+	trace.advance(2500)
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -132,7 +132,7 @@
 		case ListVerified:
 			s.endListVerification()
 		case ListFailed:
-			s.watchListAt = s.now + s.settings.RewatchWithin/16*Millis(1+s.random())
+			s.watchListAt = s.now + min(s.settings.RewatchWithin/16, maxRewatchPause)*Millis(1+s.random())
 		}
 	}
 	if s.now >= s.watchListAt {
