--- a/rules/list_check.go
+++ b/rules/list_check.go
@@ -13,8 +13,8 @@
 	maxListWait Millis = 500
 	// listWaitShare is the share of the time left for sending a notice that it may wait for the verification.
 	listWaitShare = 0.5
-	// maxRewatchPause is half of the longest pause after a failed watch before the next one, where the platform
-	// tells changes only to senders that ask: it counts them as told after maxFirstListWait.
+	// maxRewatchPause is half of the longest pause after a failed watch before the next one, where the
+	// platform tells changes only to senders that ask: it counts them as told after maxFirstListWait.
 	maxRewatchPause Millis = 1_000
 )
 
